--- /dev/null
+++ b/src/brain.cpp
@@ -0,0 +1,697 @@
+// The decision module. Its caller hands Brain::handle the time (a span since this session manager started)
+// and one thing that happened, and carries out the orders returned, in their order. The interface is in
+// brain.h; all decisions, tables and tuned values are here. docs/design.md tells what is kept of Sunstar.
+#include "brain.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <random>
+#include <utility>
+
+namespace violettide {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// CUBIC's constants (RFC 8312) and the page's limits for a loss.
+constexpr double window_kept = 0.7;
+constexpr double cubic_scale = 0.4;
+constexpr double mean_drop_is_loss = 0.8;
+constexpr double full_share = 0.98;
+// Chebyshev: nine tenths of all values lie within sqrt(10) deviations of the mean, on either side.
+const double chebyshev_gap = 2 * std::sqrt(10.0);
+constexpr double spread_tie = 0.1;
+
+constexpr double link_filled = 0.9;        // part of a link that room may fill: true rates leave the ladder
+constexpr double rise_leaves = 0.05;       // part of a link that a rise leaves to newcomers
+constexpr double share_memory = 6;         // the share's mean reaches back so many note lags
+constexpr double report_weight = 0.4;      // what a new report counts against the older ones
+constexpr double rise_spacing = 12;        // a playback's rises lie so many switch costs apart at least
+constexpr double pace_kept = 0.8;          // part of this front's even part of a cold server's pace
+constexpr double probe_spending = 0.01;    // part of the revenue that probes may cost
+constexpr double first_try_share = 0.45;   // part of the time to the startup target that one try may take
+constexpr double back_off_least = 0.125;   // a failing server rests so many cold times at first
+constexpr double come_back_part = 0.5;     // of the longest come-back time
+constexpr Span tick = 250ms;
+constexpr std::uint32_t tick_token = 1;
+
+double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
+Span span_of(double seconds) { return Span(static_cast<std::int64_t>(seconds * 1e6)); }
+
+template <typename... Visitors>
+struct Overloaded : Visitors... {
+  using Visitors::operator()...;
+};
+
+// Mean and variance of the delivered share over time; between notes a server counts as it last sounded.
+class ShareMeter {
+ public:
+  void note(Span now, double share, Span silence) {
+    settle(now, silence);
+    current_ = share;
+    noted_ = now;
+  }
+  double mean(Span now, Span silence) { return settle(now, silence), mean_; }
+  double spread(Span now, Span silence) {
+    settle(now, silence);
+    return std::min(1.0, chebyshev_gap * std::sqrt(std::max(0.0, square_ - mean_ * mean_)));
+  }
+
+ private:
+  void settle(Span now, Span silence) {
+    if (current_ < full_share && now - noted_ > 2 * silence) {
+      pull(noted_ + 2 * silence, silence);
+      current_ = 1;  // no note for so long: full share again
+    }
+    pull(now, silence);
+  }
+  void pull(Span until, Span silence) {
+    const double gone = seconds(until - settled_) / (share_memory * seconds(silence));
+    const double kept = std::exp(-std::max(0.0, gone));
+    mean_ = kept * mean_ + (1 - kept) * current_;
+    square_ = kept * square_ + (1 - kept) * current_ * current_;
+    settled_ = std::max(settled_, until);
+  }
+  double mean_ = 1;
+  double square_ = 1;
+  double current_ = 1;
+  Span noted_{0};
+  Span settled_{0};
+};
+
+// A CUBIC window: cut on a loss, regrown by the cubic.
+struct Window {
+  double peak = 0;
+  Span lost_at{0};
+
+  double size(Span now) const {
+    const double to_peak = std::cbrt((1 - window_kept) * peak / cubic_scale);
+    return cubic_scale * std::pow(seconds(now - lost_at) - to_peak, 3) + peak;
+  }
+  void open_at(double first, Span now) { *this = {first / window_kept, now}; }
+  // A front that holds less than its window allows has not tested it (RFC 8312, application-limited).
+  void cut(double held, Span now) { *this = {std::max(1.0, std::min(size(now), held)), now}; }
+};
+
+struct Server {
+  bool listed = false;
+  Standing standing = Standing::gone;
+  int kind = 0;
+  int zone = 0;
+  int cell = 0;
+  double weight = 1;
+  std::optional<Span> started;
+
+  Window window;
+  ShareMeter shares;
+  double mean_at_loss = 1;
+  std::optional<Span> short_since;  // the train of shortfall notes that runs
+  Span last_short{0};
+  std::optional<Span> last_drop;
+
+  double own_kb = 0;  // rungs of this front's playbacks there, set-ups included
+  int held = 0;
+  int setting_up = 0;
+  std::optional<double> others_kb;  // what reports leave for all the rest, ladder errors included
+  std::optional<Span> reported_at;
+  std::optional<Span> probed_at;
+
+  int strikes = 0;
+  Span rests_until{0};
+  Span cold_since{0};
+  std::optional<Span> last_set_up;
+};
+
+struct Playback {
+  enum class State { waiting, setting_up, playing };
+  Request request;
+  State state = State::waiting;
+  Span target_at{0};
+  ServerId server = 0;
+  int rung = 0;
+  int tries = 0;
+  bool may_have_run = false;
+  bool withdrawn = false;
+  Span rung_since{0};
+  std::optional<Span> ends_at;
+};
+
+struct Rack {
+  std::optional<double> others_kb;
+};
+
+}  // namespace
+
+class Brain::Mind {
+ public:
+  Mind(SiteTerms terms, std::uint64_t seed) : terms_(std::move(terms)) {
+    chance_.seed(static_cast<std::minstd_rand::result_type>(seed % std::minstd_rand::modulus));
+    racks_.resize(static_cast<std::size_t>(std::max(1, terms_.racks)));
+  }
+
+  std::vector<Order> handle(Span now, const Event& event) {
+    now_ = now;
+    orders_.clear();
+    if (!ticking_) start_ticking();
+    std::visit([this](const auto& what) { on(what); }, event);
+    return std::move(orders_);
+  }
+
+ private:
+  // ---- what happened ----
+  void on(const ServerList& list) {
+    if (list.reach != ServerList::Reach::changes) {
+      for (auto& [id, server] : servers_) server.standing = Standing::gone;
+    }
+    for (const auto& entry : list.entries) take_entry(entry);
+  }
+
+  void on(const ListFailed&) { ask_for_list_ = terms_.list_on_request; }
+
+  void on(const Request& request) {
+    taken_.push_back(now_);
+    probes_due_ = std::min(probes_due_ + probes_per_playback(), 4.0);
+    auto& playback = admit(request);
+    playback.target_at = now_ + terms_.plans.at(request.plan).startup_target;
+    place(playback);
+  }
+
+  void on(const CarriedOver& carried) {
+    auto& playback = admit(carried.request);
+    playback.state = Playback::State::playing;
+    playback.tries = 1;
+    playback.may_have_run = true;
+    attach(playback, carried.server);
+  }
+
+  void on(const Withdrawn& what) {
+    const auto found = playbacks_.find(what.playback);
+    if (found == playbacks_.end()) return;
+    if (found->second.state == Playback::State::waiting) return forget(what.playback);
+    found->second.withdrawn = true;
+  }
+
+  void on(const Started& what) {
+    const auto found = playbacks_.find(what.playback);
+    if (found == playbacks_.end() || found->second.state != Playback::State::setting_up) return;
+    auto& server = servers_[what.server];
+    found->second.state = Playback::State::playing;
+    found->second.rung_since = now_;
+    --server.setting_up;
+    server.strikes = 0;
+  }
+
+  void on(const TryEnded& what) {
+    take_report(what.server, what.load);
+    const auto found = playbacks_.find(what.playback);
+    if (found == playbacks_.end()) return;
+    auto& playback = found->second;
+    judge_outcome(servers_[what.server], playback, what.outcome);
+    detach(playback);
+    if (what.over || playback.withdrawn) return forget(what.playback);
+    place(playback);
+  }
+
+  void on(const ProbeEnded& what) {
+    if (what.answered) return take_report(what.server, what.load);
+    strike(servers_[what.server]);
+  }
+
+  void on(const Note& note) {
+    const auto found = playbacks_.find(note.playback);
+    switch (note.about) {
+      case Note::About::rung:
+        if (found != playbacks_.end()) set_held_rung(found->second, static_cast<int>(note.value));
+        return;
+      case Note::About::link_fill: return take_report(note.server, {note.value, {}, {}});
+      case Note::About::uplink_fill: return take_report(note.server, {{}, note.value, {}});
+      case Note::About::share: return take_share(servers_[note.server], note.value);
+    }
+  }
+
+  void on(const TimerRang& timer) {
+    if (timer.token != tick_token) return;
+    orders_.push_back(SetTimer{tick, tick_token});
+    if (std::exchange(ask_for_list_, false)) orders_.push_back(FollowList{});
+    rise();
+  }
+
+  // ---- servers and what is known of them ----
+  void start_ticking() {
+    ticking_ = true;
+    ask_for_list_ = terms_.list_on_request;
+    orders_.push_back(SetTimer{tick * (1 + static_cast<int>(chance_() % 100)) / 100, tick_token});
+  }
+
+  void take_entry(const ServerEntry& entry) {
+    auto& server = servers_[entry.server];
+    const bool restarted = server.listed && entry.started && entry.started != server.started;
+    server.kind = entry.kind;
+    server.zone = entry.zone;
+    server.cell = entry.cell;
+    server.weight = entry.weight;
+    server.standing = entry.standing;
+    server.started = entry.started;
+    if (restarted) {
+      server.strikes = 0;
+      server.rests_until = now_;
+      server.others_kb.reset();
+    }
+    if (server.started) server.cold_since = std::max(server.cold_since, *server.started);
+    if (!server.listed) server.window.open_at(std::max(1.0, streams_of(server) - server.held), now_);
+    server.listed = true;
+  }
+
+  double streams_of(const Server& server) const {
+    const auto kind = static_cast<std::size_t>(server.kind);
+    return kind < terms_.kind_streams.size() ? terms_.kind_streams[kind] : 1;
+  }
+
+  // Where weights say nothing, a machine's kind does: links go with the streams it runs.
+  double link_of(const Server& server) const {
+    if (terms_.weights_told) return terms_.link_kb_per_weight * server.weight;
+    double mean = 0;
+    int count = 0;
+    for (const auto& [id, other] : servers_) {
+      if (other.listed) mean += streams_of(other), ++count;
+    }
+    return count == 0 ? 0 : terms_.link_kb_per_weight * streams_of(server) * count / mean;
+  }
+
+  Rack& rack_of(const Server& server) {
+    return racks_[static_cast<std::size_t>(server.cell) % racks_.size()];
+  }
+
+  // A report names the whole fill; what this front doesn't ask itself is the others'.
+  void take_report(ServerId id, const LoadReport& load) {
+    auto& server = servers_[id];
+    if (load.link_fill) {
+      learn(server.others_kb, *load.link_fill * link_of(server) - server.own_kb);
+      server.reported_at = now_;
+    }
+    if (load.uplink_fill) {
+      auto& rack = rack_of(server);
+      learn(rack.others_kb, *load.uplink_fill * terms_.uplink_kb - own_in(rack));
+    }
+  }
+
+  static void learn(std::optional<double>& known, double heard) {
+    known = known ? *known + report_weight * (heard - *known) : heard;
+  }
+
+  double own_in(const Rack& rack) {
+    double own = 0;
+    for (auto& [id, server] : servers_) {
+      if (&rack_of(server) == &rack) own += server.own_kb;
+    }
+    return own;
+  }
+
+  Span silence() const { return std::max<Span>(terms_.note_lag, 500ms) + 500ms; }
+
+  // The page's room: told link times mean share, less own rungs and the others' use, or an even part.
+  double room(Server& server) {
+    const double link = link_of(server) * link_filled * server.shares.mean(now_, silence());
+    const double rest = link - server.own_kb;
+    const double in_link = server.others_kb ? rest - *server.others_kb : rest / terms_.fronts;
+    return std::min(in_link, room_in(rack_of(server)));
+  }
+
+  double room_in(const Rack& rack) {
+    if (!rack.others_kb) return terms_.all_links_kb;
+    return terms_.uplink_kb * link_filled - own_in(rack) - *rack.others_kb;
+  }
+
+  // ---- shortfall ----
+  void take_share(Server& server, double share) {
+    server.shares.note(now_, share, silence());
+    if (share >= full_share) {
+      server.short_since.reset();
+      return;
+    }
+    const bool train = server.short_since && now_ - server.last_short <= 2 * silence();
+    const double mean = server.shares.mean(now_, silence());
+    server.last_short = now_;
+    if (!train) server.short_since = now_;
+    // A late train of notes about one event is one loss, unless the mean falls on.
+    if (!train || mean < mean_drop_is_loss * server.mean_at_loss) {
+      server.window.cut(server.held, now_);
+      server.mean_at_loss = mean;
+    }
+    drop_rungs(server, share);
+  }
+
+  // Drops as many playbacks a rung as the shortfall asks of this front, least revenue per kB first.
+  void drop_rungs(Server& server, double share) {
+    if (server.last_drop && now_ - *server.last_drop < terms_.note_lag + silence()) return;
+    server.last_drop = now_;
+    free_room(server, server.own_kb * (1 - share * link_filled), 1e9);
+  }
+
+  // ---- rungs ----
+  double rate(const Request& request, int rung) const {
+    return terms_.rung_kb.at(rung) * terms_.plans[request.plan].rate_scale;
+  }
+  // Revenue that the step up to this rung earns for each kB it asks.
+  double step_value(const Request& request, int rung) const {
+    const auto& plan = terms_.plans[request.plan];
+    const double below = rung > 0 ? terms_.rung_revenue.at(rung - 1) : 0;
+    const double kb_below = rung > 0 ? rate(request, rung - 1) : 0;
+    return plan.revenue * (terms_.rung_revenue.at(rung) - below) / (rate(request, rung) - kb_below);
+  }
+  int floor_of(const Request& request) const { return terms_.plans[request.plan].floor; }
+  int top_of(const Request& request) const {
+    const int last = static_cast<int>(terms_.rung_kb.size()) - 1;
+    return std::clamp(std::min(request.top, terms_.plans[request.plan].top), 0, last);
+  }
+
+  void set_held_rung(Playback& playback, int rung) {
+    auto& server = servers_[playback.server];
+    server.own_kb += rate(playback.request, rung) - rate(playback.request, playback.rung);
+    playback.rung = rung;
+    playback.rung_since = now_;
+  }
+
+  void change_rung(Playback& playback, int rung) {
+    set_held_rung(playback, rung);
+    orders_.push_back(SetRung{playback.request.playback, rung});
+  }
+
+  // Steps this front's playbacks there down until `needed` is free; only steps worth less than `value`.
+  bool free_room(Server& server, double needed, double value) {
+    while (needed > 0) {
+      Playback* least = nullptr;
+      for (auto& [id, playback] : playbacks_) {
+        if (!may_step_down(playback, server, value)) continue;
+        if (!least || step_value(playback.request, playback.rung) < step_value(least->request, least->rung))
+          least = &playback;
+      }
+      if (!least) return false;
+      needed -= rate(least->request, least->rung) - rate(least->request, least->rung - 1);
+      change_rung(*least, least->rung - 1);
+    }
+    return true;
+  }
+
+  bool may_step_down(const Playback& playback, const Server& server, double value) {
+    return playback.state == Playback::State::playing && !playback.withdrawn &&
+           &servers_[playback.server] == &server && playback.rung > floor_of(playback.request) &&
+           step_value(playback.request, playback.rung) < value;
+  }
+
+  double could_free(const Server& server, double value) {
+    double freed = 0;
+    for (auto& [id, playback] : playbacks_) {
+      const auto& request = playback.request;
+      if (!may_step_down(playback, server, value)) continue;
+      int rung = playback.rung;
+      while (rung > floor_of(request) && step_value(request, rung) < value) --rung;
+      freed += rate(request, playback.rung) - rate(request, rung);
+    }
+    return freed;
+  }
+
+  // The revenue per kB at which this front's playbacks would fill its part of all links: steps worth less
+  // than that would leave no room for the others.
+  double fair_value() {
+    double links = 0, others = 0, own = 0;
+    for (auto& [id, server] : servers_) {
+      if (server.standing != Standing::ready) continue;
+      const double link = link_of(server) * link_filled;
+      links += link;
+      own += server.own_kb;
+      others += server.others_kb.value_or((link - server.own_kb) * (terms_.fronts - 1) / terms_.fronts);
+    }
+    double left = std::max(links / terms_.fronts, links - others);
+    std::map<double, double, std::greater<>> asked;
+    for (const auto& [id, playback] : playbacks_) {
+      const auto& request = playback.request;
+      left -= rate(request, floor_of(request));
+      for (int rung = floor_of(request) + 1; rung <= top_of(request); ++rung)
+        asked[step_value(request, rung)] += rate(request, rung) - rate(request, rung - 1);
+    }
+    for (const auto& [value, kb] : asked) {
+      if (left < kb) return value;
+      left -= kb;
+    }
+    return 0;
+  }
+
+  void rise() {
+    const double fair = fair_value();
+    std::vector<std::pair<double, Playback*>> wishes;
+    for (auto& [id, playback] : playbacks_) {
+      if (may_rise(playback, fair))
+        wishes.emplace_back(-step_value(playback.request, playback.rung + 1), &playback);
+    }
+    std::stable_sort(wishes.begin(), wishes.end(), [](auto& a, auto& b) { return a.first < b.first; });
+    for (const auto& [value, playback] : wishes) {
+      auto& server = servers_[playback->server];
+      const double more = rate(playback->request, playback->rung + 1) - rate(playback->request, playback->rung);
+      if (more + rise_leaves * link_of(server) > room(server)) continue;
+      change_rung(*playback, playback->rung + 1);
+    }
+  }
+
+  bool may_rise(const Playback& playback, double fair) {
+    if (playback.state != Playback::State::playing || playback.withdrawn) return false;
+    if (playback.rung >= top_of(playback.request)) return false;
+    const auto& server = servers_[playback.server];
+    if (server.short_since || server.strikes > 0) return false;
+    if (now_ - playback.rung_since < rise_spacing * terms_.switch_cost) return false;
+    return step_value(playback.request, playback.rung + 1) >= fair;
+  }
+
+  // ---- placing ----
+  Playback& admit(const Request& request) {
+    auto& playback = playbacks_[request.playback];
+    playback.request = request;
+    playback.rung = floor_of(request);
+    if (request.length) playback.ends_at = now_ + *request.length;
+    return playback;
+  }
+
+  void attach(Playback& playback, ServerId id) {
+    auto& server = servers_[id];
+    playback.server = id;
+    playback.rung_since = now_;
+    server.own_kb += rate(playback.request, playback.rung);
+    ++server.held;
+  }
+
+  void detach(Playback& playback) {
+    if (playback.state == Playback::State::waiting) return;
+    auto& server = servers_[playback.server];
+    server.own_kb -= rate(playback.request, playback.rung);
+    if (--server.held == 0) server.own_kb = 0;
+    if (playback.state == Playback::State::setting_up) --server.setting_up;
+    playback.state = Playback::State::waiting;
+  }
+
+  void forget(PlaybackId id) {
+    detach(playbacks_.at(id));
+    playbacks_.erase(id);
+  }
+
+  bool holds(const Server& server, const Request& request) const {
+    const int from_first = (server.cell - request.first_cell) % terms_.cells;
+    return (from_first + terms_.cells) % terms_.cells < request.holders;
+  }
+
+  bool open_to(Server& server, const Request& request) {
+    if (!server.listed || server.standing != Standing::ready || !holds(server, request)) return false;
+    if (now_ < server.rests_until || (server.strikes > 0 && server.setting_up > 0)) return false;
+    return server.held + 1 <= server.window.size(now_) && within_pace(server);
+  }
+
+  // A server just started, seen failing, or unknown to a front that has itself just started, takes no more
+  // than this front's even part of the pace at which it may be set up.
+  bool within_pace(const Server& server) const {
+    const Span age = now_ - server.cold_since;
+    if (terms_.cold_time <= 0s || age >= terms_.cold_time || !server.last_set_up) return true;
+    const double warmed = std::clamp(seconds(age) / seconds(terms_.cold_time), 0.0, 1.0);
+    const double warmth = terms_.cold_from + (1 - terms_.cold_from) * warmed * warmed;
+    const double pace = streams_of(server) / seconds(terms_.cold_time) * warmth * terms_.overload_multiple;
+    return seconds(now_ - *server.last_set_up) * pace * pace_kept >= terms_.fronts;
+  }
+
+  bool has_seat(const Request& request) const {
+    const int seats = terms_.plans[request.plan].seats;
+    if (seats <= 0) return true;
+    return seats > std::count_if(playbacks_.begin(), playbacks_.end(), [&](const auto& held) {
+             const auto& other = held.second;
+             return other.state != Playback::State::waiting && other.request.plan == request.plan &&
+                    other.request.title == request.title;
+           });
+  }
+
+  // Tries beyond the first, this one too, stay within the free few and the share of playbacks taken.
+  bool within_budget(const Playback& playback) {
+    if (playback.tries == 0 || terms_.budget_window <= 0s) return true;
+    while (!taken_.empty() && taken_.front() <= now_ - terms_.budget_window) taken_.pop_front();
+    while (!further_.empty() && further_.front() < now_ - terms_.budget_window) further_.pop_front();
+    return further_.size() + 1.0 <=
+           terms_.budget_free + terms_.budget_share * static_cast<double>(taken_.size());
+  }
+
+  bool may_try(const Playback& playback) {
+    const auto& plan = terms_.plans[playback.request.plan];
+    if (plan.pay_at_setup && playback.may_have_run) return false;
+    if (now_ >= std::min(playback.target_at, playback.request.abandon_at)) return false;
+    return playback.tries < terms_.most_tries && within_budget(playback) && has_seat(playback.request);
+  }
+
+  void place(Playback& playback) {
+    if (!may_try(playback)) return give_up(playback);
+    const auto& request = playback.request;
+    const double fair = fair_value();
+    int rung = top_of(request);
+    while (rung > floor_of(request) && step_value(request, rung) < fair) --rung;
+    for (; rung >= floor_of(request); --rung) {
+      if (const auto id = choose(request, rate(request, rung))) return send(playback, *id, rung);
+    }
+    if (const auto id = make_room(request)) return send(playback, *id, floor_of(request));
+    give_up(playback);
+  }
+
+  // The page's choice: window room and room for the rung, least spread, ties to most room.
+  std::optional<ServerId> choose(const Request& request, double kb) {
+    std::optional<ServerId> best;
+    double best_spread = 0, best_room = 0;
+    for (auto& [id, server] : servers_) {
+      if (!open_to(server, request)) continue;
+      const double left = room(server) - kb;
+      if (left < 0) continue;
+      const double spread = server.shares.spread(now_, silence());
+      const bool tie = best && std::abs(spread - best_spread) <= spread_tie;
+      if (best && (tie ? left <= best_room : spread > best_spread)) continue;
+      best = id;
+      best_spread = spread;
+      best_room = left;
+    }
+    return best;
+  }
+
+  // No holder has room for the lowest rung: own playbacks step down where that costs less than it earns.
+  std::optional<ServerId> make_room(const Request& request) {
+    const double kb = rate(request, floor_of(request));
+    const double value =
+        terms_.plans[request.plan].revenue * terms_.rung_revenue.at(floor_of(request)) / kb;
+    std::optional<ServerId> best;
+    double best_left = 0;
+    for (auto& [id, server] : servers_) {
+      if (!open_to(server, request)) continue;
+      const double left = room(server) + could_free(server, value) - kb;
+      if (left < 0 || (best && left <= best_left)) continue;
+      best = id;
+      best_left = left;
+    }
+    if (best) free_room(servers_[*best], kb - room(servers_[*best]), value);
+    return best;
+  }
+
+  void send(Playback& playback, ServerId id, int rung) {
+    const auto& request = playback.request;
+    auto& server = servers_[id];
+    playback.rung = rung;
+    attach(playback, id);
+    playback.state = Playback::State::setting_up;
+    if (playback.tries > 0) further_.push_back(now_);
+    ++playback.tries;
+    ++server.setting_up;
+    server.last_set_up = now_;
+    orders_.push_back(SetRung{request.playback, rung});
+    orders_.push_back(SetUp{request.playback, id, time_limit(playback)});
+    probe_holders(request);
+  }
+
+  // A try leaves time for another before the startup target, unless it is the last that may be made.
+  Span time_limit(const Playback& playback) {
+    const Span left = playback.request.abandon_at - now_;
+    if (terms_.plans[playback.request.plan].pay_at_setup) return left;
+    if (playback.tries >= terms_.most_tries) return left;
+    return std::min(left, span_of(first_try_share * seconds(playback.target_at - now_)) + 50ms);
+  }
+
+  void give_up(Playback& playback) {
+    const auto id = playback.request.playback;
+    const auto come_back = span_of(come_back_part * seconds(terms_.longest_come_back));
+    if (terms_.plans[playback.request.plan].pay_at_setup && playback.may_have_run)
+      orders_.push_back(Abort{id});
+    else
+      orders_.push_back(Reject{id, come_back});
+    forget(id);
+  }
+
+  // ---- health, from what this front's own tries met ----
+  void judge_outcome(Server& server, Playback& playback, Outcome outcome) {
+    const bool was_playing = playback.state == Playback::State::playing;
+    const bool proof = outcome == Outcome::full || outcome == Outcome::no_connection ||
+                       outcome == Outcome::not_sent;
+    if (!proof) playback.may_have_run = true;
+    if (outcome == Outcome::reset || outcome == Outcome::no_connection ||
+        (outcome == Outcome::late && !was_playing))
+      strike(server);
+    if (outcome == Outcome::full) server.others_kb = std::max(server.others_kb.value_or(0), link_of(server));
+  }
+
+  // Silence, a reset or a refused connection: rest, then one single try at a time until one starts. What
+  // failed may come back cold.
+  void strike(Server& server) {
+    if (now_ < server.rests_until) return;
+    const double rest = back_off_least * std::exp2(std::min(server.strikes, 3)) * seconds(terms_.cold_time);
+    ++server.strikes;
+    server.rests_until = now_ + span_of(rest);
+    server.cold_since = now_;
+  }
+
+  // ---- probes ----
+  double probes_per_playback() const {
+    if (!terms_.may_probe) return 0;
+    return terms_.probe_price > 0 ? std::min(2.0, probe_spending / terms_.probe_price) : 2.0;
+  }
+
+  // Asks the holder of whom least is known, as often as the price allows.
+  void probe_holders(const Request& request) {
+    while (probes_due_ >= 1) {
+      Server* stalest = nullptr;
+      ServerId asked = 0;
+      for (auto& [id, server] : servers_) {
+        if (server.standing != Standing::ready || !holds(server, request)) continue;
+        if (server.probed_at && now_ - *server.probed_at < 1s) continue;
+        if (stalest && stalest->probed_at && (!server.probed_at || *server.probed_at < *stalest->probed_at))
+          stalest = nullptr;
+        if (!stalest) stalest = &server, asked = id;
+      }
+      if (!stalest) return;
+      probes_due_ -= 1;
+      stalest->probed_at = now_;
+      orders_.push_back(Probe{asked});
+    }
+  }
+
+  SiteTerms terms_;
+  std::minstd_rand chance_;
+  Span now_{0};
+  std::vector<Order> orders_;
+  bool ticking_ = false;
+  bool ask_for_list_ = false;
+  std::map<ServerId, Server> servers_;
+  std::vector<Rack> racks_;
+  std::map<PlaybackId, Playback> playbacks_;
+  std::deque<Span> taken_;
+  std::deque<Span> further_;
+  double probes_due_ = 0;
+};
+
+Brain::Brain(SiteTerms terms, std::uint64_t seed) : mind_(std::make_unique<Mind>(std::move(terms), seed)) {}
+Brain::~Brain() = default;
+Brain::Brain(Brain&&) noexcept = default;
+Brain& Brain::operator=(Brain&&) noexcept = default;
+
+std::vector<Order> Brain::handle(Span now, const Event& event) { return mind_->handle(now, event); }
+
+}  // namespace violettide
