--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <limits>
 #include <map>
 #include <random>
 #include <utility>
@@ -30,6 +31,7 @@
 constexpr double share_memory = 6;         // the share's mean reaches back so many note lags
 constexpr double report_weight = 0.4;      // what a new report counts against the older ones
 constexpr double rise_spacing = 12;        // a playback's rises lie so many switch costs apart at least
+constexpr double rise_payoff = 3;          // a rise earns so many times its price
 constexpr double pace_kept = 0.8;          // part of this front's even part of a cold server's pace
 constexpr double probe_spending = 0.01;    // part of the revenue that probes may cost
 constexpr double first_try_share = 0.45;   // part of the time to the startup target that one try may take
@@ -348,7 +350,7 @@
   void drop_rungs(Server& server, double share) {
     if (server.last_drop && now_ - *server.last_drop < terms_.note_lag + silence()) return;
     server.last_drop = now_;
-    free_room(server, server.own_kb * (1 - share * link_filled), 1e9);
+    free_room(server, server.own_kb * (1 - share * link_filled), std::numeric_limits<double>::max());
   }
 
   // ---- rungs ----
@@ -380,38 +382,52 @@
     orders_.push_back(SetRung{playback.request.playback, rung});
   }
 
-  // Steps this front's playbacks there down until `needed` is free; only steps worth less than `value`.
-  bool free_room(Server& server, double needed, double value) {
-    while (needed > 0) {
-      Playback* least = nullptr;
-      for (auto& [id, playback] : playbacks_) {
-        if (!may_step_down(playback, server, value)) continue;
-        if (!least || step_value(playback.request, playback.rung) < step_value(least->request, least->rung))
-          least = &playback;
-      }
-      if (!least) return false;
-      needed -= rate(least->request, least->rung) - rate(least->request, least->rung - 1);
-      change_rung(*least, least->rung - 1);
-    }
-    return true;
+  // What a playback still has before it, by its hint or else by how long the others have lasted.
+  Span left_of(const Playback& playback) const {
+    const Span floor = terms_.switch_cost;
+    return playback.ends_at ? std::max(floor, *playback.ends_at - now_) : std::max(floor, usual_life_);
   }
 
-  bool may_step_down(const Playback& playback, const Server& server, double value) {
-    return playback.state == Playback::State::playing && !playback.withdrawn &&
-           &servers_[playback.server] == &server && playback.rung > floor_of(playback.request) &&
-           step_value(playback.request, playback.rung) < value;
+  // Revenue lost by stepping down to `rung`, the switch included.
+  double loss_of(const Playback& playback, int rung) const {
+    const auto& revenue = terms_.rung_revenue;
+    return terms_.plans[playback.request.plan].revenue *
+           ((revenue.at(playback.rung) - revenue.at(rung)) * seconds(left_of(playback)) +
+            seconds(terms_.switch_cost));
   }
 
-  double could_free(const Server& server, double value) {
+  struct StepDown {
+    Playback* playback = nullptr;
+    int rung = 0;
     double freed = 0;
+    double loss = 0;
+  };
+
+  // The step down, over one rung or several, that loses least for each kB of `needed` it frees.
+  StepDown cheapest_step(const Server& server, double needed) {
+    StepDown best;
     for (auto& [id, playback] : playbacks_) {
-      const auto& request = playback.request;
-      if (!may_step_down(playback, server, value)) continue;
-      int rung = playback.rung;
-      while (rung > floor_of(request) && step_value(request, rung) < value) --rung;
-      freed += rate(request, playback.rung) - rate(request, rung);
+      if (playback.state != Playback::State::playing || playback.withdrawn) continue;
+      if (&servers_[playback.server] != &server) continue;
+      for (int rung = floor_of(playback.request); rung < playback.rung; ++rung) {
+        const double freed = rate(playback.request, playback.rung) - rate(playback.request, rung);
+        const double loss = loss_of(playback, rung);
+        if (!best.playback || loss * std::min(best.freed, needed) < best.loss * std::min(freed, needed))
+          best = {&playback, rung, freed, loss};
+      }
+    }
+    return best;
+  }
+
+  // Steps this front's playbacks there down until `needed` is free or that would lose more than `worth`.
+  void free_room(Server& server, double needed, double worth) {
+    while (needed > 0) {
+      const auto step = cheapest_step(server, needed);
+      if (!step.playback || step.loss > worth) return;
+      needed -= step.freed;
+      worth -= step.loss;
+      change_rung(*step.playback, step.rung);
     }
-    return freed;
   }
 
   // The revenue per kB at which this front's playbacks would fill its part of all links: steps worth less
@@ -456,13 +472,19 @@
     }
   }
 
+  bool rise_pays(const Playback& playback) const {
+    const auto& revenue = terms_.rung_revenue;
+    const double gained = revenue.at(playback.rung + 1) - revenue.at(playback.rung);
+    return gained * seconds(left_of(playback)) > rise_payoff * seconds(terms_.switch_cost);
+  }
+
   bool may_rise(const Playback& playback, double fair) {
     if (playback.state != Playback::State::playing || playback.withdrawn) return false;
     if (playback.rung >= top_of(playback.request)) return false;
     const auto& server = servers_[playback.server];
     if (server.short_since || server.strikes > 0) return false;
     if (now_ - playback.rung_since < rise_spacing * terms_.switch_cost) return false;
-    return step_value(playback.request, playback.rung + 1) >= fair;
+    return step_value(playback.request, playback.rung + 1) > fair && rise_pays(playback);
   }
 
   // ---- placing ----
@@ -549,11 +571,11 @@
     const auto& request = playback.request;
     const double fair = fair_value();
     int rung = top_of(request);
-    while (rung > floor_of(request) && step_value(request, rung) < fair) --rung;
+    while (rung > floor_of(request) && step_value(request, rung) <= fair) --rung;
     for (; rung >= floor_of(request); --rung) {
       if (const auto id = choose(request, rate(request, rung))) return send(playback, *id, rung);
     }
-    if (const auto id = make_room(request)) return send(playback, *id, floor_of(request));
+    if (const auto id = make_room(playback)) return send(playback, *id, floor_of(request));
     give_up(playback);
   }
 
@@ -575,21 +597,24 @@
     return best;
   }
 
-  // No holder has room for the lowest rung: own playbacks step down where that costs less than it earns.
-  std::optional<ServerId> make_room(const Request& request) {
-    const double kb = rate(request, floor_of(request));
-    const double value =
-        terms_.plans[request.plan].revenue * terms_.rung_revenue.at(floor_of(request)) / kb;
+  // No holder has room for the lowest rung: one own playback steps down where it loses less than this earns.
+  std::optional<ServerId> make_room(const Playback& playback) {
+    const auto& request = playback.request;
+    const int floor = floor_of(request);
+    const double earned = terms_.plans[request.plan].revenue * terms_.rung_revenue.at(floor) *
+                          seconds(left_of(playback));
     std::optional<ServerId> best;
-    double best_left = 0;
+    StepDown best_step;
     for (auto& [id, server] : servers_) {
       if (!open_to(server, request)) continue;
-      const double left = room(server) + could_free(server, value) - kb;
-      if (left < 0 || (best && left <= best_left)) continue;
+      const double needed = rate(request, floor) - room(server);
+      const auto step = cheapest_step(server, needed);
+      if (!step.playback || step.freed < needed || step.loss > earned) continue;
+      if (best && step.loss >= best_step.loss) continue;
       best = id;
-      best_left = left;
+      best_step = step;
     }
-    if (best) free_room(servers_[*best], kb - room(servers_[*best]), value);
+    if (best) change_rung(*best_step.playback, best_step.rung);
     return best;
   }
 
@@ -685,6 +710,7 @@
   std::deque<Span> taken_;
   std::deque<Span> further_;
   double probes_due_ = 0;
+  Span usual_life_{30s};
 };
 
 Brain::Brain(SiteTerms terms, std::uint64_t seed) : mind_(std::make_unique<Mind>(std::move(terms), seed)) {}
