Let floors fill a link further than starts above them, and rises least

Cause: rungs that later had to come down again paid two switches and a shortfall between. Starts above the floor leave a fifth of a link, rises a quarter and must earn 8 times their price; fair rungs fill 0.77 of this front's part of all links; drops cover just the shortfall named.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,12 +26,15 @@
 const double chebyshev_gap = 2 * std::sqrt(10.0);
 constexpr double spread_tie = 0.1;
 
-constexpr double link_filled = 0.9;        // part of a link that room may fill: true rates leave the ladder
-constexpr double rise_leaves = 0.05;       // part of a link that a rise leaves to newcomers
+// Parts of a link that room may fill: true rates leave the ladder, and newcomers need some.
+constexpr double filled_by_floor = 0.95;   // by a playback that can play no lower
+constexpr double filled_by_start = 0.8;    // by one that starts above its floor
+constexpr double filled_by_rise = 0.75;    // by one that rises
+constexpr double fair_filled = 0.77;       // of all links, by all playbacks at their fair rungs
 constexpr double share_memory = 6;         // the share's mean reaches back so many note lags
 constexpr double report_weight = 0.4;      // what a new report counts against the older ones
-constexpr double rise_spacing = 12;        // a playback's rises lie so many switch costs apart at least
-constexpr double rise_payoff = 3;          // a rise earns so many times its price
+constexpr double rise_spacing = 30;        // a playback's rises lie so many switch costs apart at least
+constexpr double rise_payoff = 8;          // a rise earns so many times its price
 constexpr double pace_kept = 0.8;          // part of this front's even part of a cold server's pace
 constexpr double probe_spending = 0.01;    // part of the revenue that probes may cost
 constexpr double first_try_share = 0.45;   // part of the time to the startup target that one try may take
@@ -315,16 +318,16 @@
   Span silence() const { return std::max<Span>(terms_.note_lag, 500ms) + 500ms; }
 
   // The page's room: told link times mean share, less own rungs and the others' use, or an even part.
-  double room(Server& server) {
-    const double link = link_of(server) * link_filled * server.shares.mean(now_, silence());
+  double room(Server& server, double filled) {
+    const double link = link_of(server) * filled * server.shares.mean(now_, silence());
     const double rest = link - server.own_kb;
     const double in_link = server.others_kb ? rest - *server.others_kb : rest / terms_.fronts;
-    return std::min(in_link, room_in(rack_of(server)));
+    return std::min(in_link, room_in(rack_of(server), filled));
   }
 
-  double room_in(const Rack& rack) {
+  double room_in(const Rack& rack, double filled) {
     if (!rack.others_kb) return terms_.all_links_kb;
-    return terms_.uplink_kb * link_filled - own_in(rack) - *rack.others_kb;
+    return terms_.uplink_kb * filled - own_in(rack) - *rack.others_kb;
   }
 
   // ---- shortfall ----
@@ -350,7 +353,7 @@
   void drop_rungs(Server& server, double share) {
     if (server.last_drop && now_ - *server.last_drop < terms_.note_lag + silence()) return;
     server.last_drop = now_;
-    free_room(server, server.own_kb * (1 - share * link_filled), std::numeric_limits<double>::max());
+    free_room(server, server.own_kb * (1 - share), std::numeric_limits<double>::max());
   }
 
   // ---- rungs ----
@@ -436,7 +439,7 @@
     double links = 0, others = 0, own = 0;
     for (auto& [id, server] : servers_) {
       if (server.standing != Standing::ready) continue;
-      const double link = link_of(server) * link_filled;
+      const double link = link_of(server) * fair_filled;
       links += link;
       own += server.own_kb;
       others += server.others_kb.value_or((link - server.own_kb) * (terms_.fronts - 1) / terms_.fronts);
@@ -467,7 +470,7 @@
     for (const auto& [value, playback] : wishes) {
       auto& server = servers_[playback->server];
       const double more = rate(playback->request, playback->rung + 1) - rate(playback->request, playback->rung);
-      if (more + rise_leaves * link_of(server) > room(server)) continue;
+      if (more > room(server, filled_by_rise)) continue;
       change_rung(*playback, playback->rung + 1);
     }
   }
@@ -573,19 +576,20 @@
     int rung = top_of(request);
     while (rung > floor_of(request) && step_value(request, rung) <= fair) --rung;
     for (; rung >= floor_of(request); --rung) {
-      if (const auto id = choose(request, rate(request, rung))) return send(playback, *id, rung);
+      if (const auto id = choose(request, rung)) return send(playback, *id, rung);
     }
     if (const auto id = make_room(playback)) return send(playback, *id, floor_of(request));
     give_up(playback);
   }
 
   // The page's choice: window room and room for the rung, least spread, ties to most room.
-  std::optional<ServerId> choose(const Request& request, double kb) {
+  std::optional<ServerId> choose(const Request& request, int rung) {
+    const double filled = rung > floor_of(request) ? filled_by_start : filled_by_floor;
     std::optional<ServerId> best;
     double best_spread = 0, best_room = 0;
     for (auto& [id, server] : servers_) {
       if (!open_to(server, request)) continue;
-      const double left = room(server) - kb;
+      const double left = room(server, filled) - rate(request, rung);
       if (left < 0) continue;
       const double spread = server.shares.spread(now_, silence());
       const bool tie = best && std::abs(spread - best_spread) <= spread_tie;
@@ -607,7 +611,7 @@
     StepDown best_step;
     for (auto& [id, server] : servers_) {
       if (!open_to(server, request)) continue;
-      const double needed = rate(request, floor) - room(server);
+      const double needed = rate(request, floor) - room(server, filled_by_floor);
       const auto step = cheapest_step(server, needed);
       if (!step.playback || step.freed < needed || step.loss > earned) continue;
       if (best && step.loss >= best_step.loss) continue;
