Probe the chosen server before the set-up when its report is old

The same probes now go to the server chosen, the set-up waits for one at most twice and never past the startup target; fair rungs count uplinks too and fill 0.85.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -28,15 +28,17 @@
 
 // Parts of a link that room may fill: true rates leave the ladder, and newcomers need some.
 constexpr double filled_by_floor = 0.95;   // by a playback that can play no lower
-constexpr double filled_by_start = 0.8;    // by one that starts above its floor
+constexpr double filled_by_start = 0.85;    // by one that starts above its floor
 constexpr double filled_by_rise = 0.75;    // by one that rises
-constexpr double fair_filled = 0.77;       // of all links, by all playbacks at their fair rungs
+constexpr double fair_filled = 0.85;       // of all links, by all playbacks at their fair rungs
 constexpr double share_memory = 6;         // the share's mean reaches back so many note lags
-constexpr double report_weight = 0.4;      // what a new report counts against the older ones
+constexpr double report_weight = 0.7;      // what a new report counts against the older ones
 constexpr double rise_spacing = 30;        // a playback's rises lie so many switch costs apart at least
 constexpr double rise_payoff = 8;          // a rise earns so many times its price
 constexpr double pace_kept = 0.8;          // part of this front's even part of a cold server's pace
 constexpr double probe_spending = 0.01;    // part of the revenue that probes may cost
+constexpr double most_probes_due = 4;
+constexpr Span fresh_report = 1s;
 constexpr double first_try_share = 0.45;   // part of the time to the startup target that one try may take
 constexpr double back_off_least = 0.125;   // a failing server rests so many cold times at first
 constexpr double come_back_part = 0.5;     // of the longest come-back time
@@ -122,7 +124,6 @@
   int setting_up = 0;
   std::optional<double> others_kb;  // what reports leave for all the rest, ladder errors included
   std::optional<Span> reported_at;
-  std::optional<Span> probed_at;
 
   int strikes = 0;
   Span rests_until{0};
@@ -138,6 +139,9 @@
   ServerId server = 0;
   int rung = 0;
   int tries = 0;
+  int probes = 0;                  // made for this playback before it was placed
+  std::optional<ServerId> asked;   // the probe that it waits for
+  Span asked_at{0};
   bool may_have_run = false;
   bool withdrawn = false;
   Span rung_since{0};
@@ -178,7 +182,7 @@
 
   void on(const Request& request) {
     taken_.push_back(now_);
-    probes_due_ = std::min(probes_due_ + probes_per_playback(), 4.0);
+    probes_due_ = std::min(probes_due_ + probes_per_playback(), most_probes_due);
     auto& playback = admit(request);
     playback.target_at = now_ + terms_.plans.at(request.plan).startup_target;
     place(playback);
@@ -221,8 +225,9 @@
   }
 
   void on(const ProbeEnded& what) {
-    if (what.answered) return take_report(what.server, what.load);
-    strike(servers_[what.server]);
+    take_report(what.server, what.load);
+    if (!what.answered) strike(servers_[what.server]);
+    place_waiting([&](const Playback& playback) { return playback.asked == what.server; });
   }
 
   void on(const Note& note) {
@@ -241,6 +246,7 @@
     if (timer.token != tick_token) return;
     orders_.push_back(SetTimer{tick, tick_token});
     if (std::exchange(ask_for_list_, false)) orders_.push_back(FollowList{});
+    place_waiting([&](const Playback& playback) { return now_ - playback.asked_at > tick; });
     rise();
   }
 
@@ -286,9 +292,10 @@
     return count == 0 ? 0 : terms_.link_kb_per_weight * streams_of(server) * count / mean;
   }
 
-  Rack& rack_of(const Server& server) {
-    return racks_[static_cast<std::size_t>(server.cell) % racks_.size()];
+  std::size_t rack_index(const Server& server) const {
+    return static_cast<std::size_t>(server.cell) % racks_.size();
   }
+  Rack& rack_of(const Server& server) { return racks_[rack_index(server)]; }
 
   // A report names the whole fill; what this front doesn't ask itself is the others'.
   void take_report(ServerId id, const LoadReport& load) {
@@ -436,15 +443,21 @@
   // The revenue per kB at which this front's playbacks would fill its part of all links: steps worth less
   // than that would leave no room for the others.
   double fair_value() {
-    double links = 0, others = 0, own = 0;
+    std::vector<double> links(racks_.size()), others(racks_.size());
     for (auto& [id, server] : servers_) {
       if (server.standing != Standing::ready) continue;
-      const double link = link_of(server) * fair_filled;
-      links += link;
-      own += server.own_kb;
-      others += server.others_kb.value_or((link - server.own_kb) * (terms_.fronts - 1) / terms_.fronts);
+      const auto rack = rack_index(server);
+      const double rest = link_of(server) - server.own_kb;
+      links[rack] += link_of(server);
+      others[rack] += server.others_kb.value_or(rest * (terms_.fronts - 1) / terms_.fronts);
+    }
+    double all = 0, free = 0;
+    for (std::size_t rack = 0; rack < racks_.size(); ++rack) {
+      const double carried = fair_filled * (terms_.uplink_kb > 0 ? std::min(links[rack], terms_.uplink_kb) : links[rack]);
+      all += carried;
+      free += carried - others[rack];
     }
-    double left = std::max(links / terms_.fronts, links - others);
+    double left = std::max(all / terms_.fronts, free);
     std::map<double, double, std::greater<>> asked;
     for (const auto& [id, playback] : playbacks_) {
       const auto& request = playback.request;
@@ -570,18 +583,31 @@
   }
 
   void place(Playback& playback) {
+    playback.asked.reset();
     if (!may_try(playback)) return give_up(playback);
     const auto& request = playback.request;
     const double fair = fair_value();
     int rung = top_of(request);
     while (rung > floor_of(request) && step_value(request, rung) <= fair) --rung;
     for (; rung >= floor_of(request); --rung) {
-      if (const auto id = choose(request, rung)) return send(playback, *id, rung);
+      const auto id = choose(request, rung);
+      if (!id) continue;
+      if (worth_asking(playback, servers_[*id])) return ask(playback, *id);
+      return send(playback, *id, rung);
     }
     if (const auto id = make_room(playback)) return send(playback, *id, floor_of(request));
     give_up(playback);
   }
 
+  template <typename Which>
+  void place_waiting(Which which) {
+    std::vector<Playback*> waiting;
+    for (auto& [id, playback] : playbacks_) {
+      if (playback.asked && which(playback)) waiting.push_back(&playback);
+    }
+    for (auto* playback : waiting) place(*playback);
+  }
+
   // The page's choice: window room and room for the rung, least spread, ties to most room.
   std::optional<ServerId> choose(const Request& request, int rung) {
     const double filled = rung > floor_of(request) ? filled_by_start : filled_by_floor;
@@ -634,7 +660,6 @@
     server.last_set_up = now_;
     orders_.push_back(SetRung{request.playback, rung});
     orders_.push_back(SetUp{request.playback, id, time_limit(playback)});
-    probe_holders(request);
   }
 
   // A try leaves time for another before the startup target, unless it is the last that may be made.
@@ -683,23 +708,19 @@
     return terms_.probe_price > 0 ? std::min(2.0, probe_spending / terms_.probe_price) : 2.0;
   }
 
-  // Asks the holder of whom least is known, as often as the price allows.
-  void probe_holders(const Request& request) {
-    while (probes_due_ >= 1) {
-      Server* stalest = nullptr;
-      ServerId asked = 0;
-      for (auto& [id, server] : servers_) {
-        if (server.standing != Standing::ready || !holds(server, request)) continue;
-        if (server.probed_at && now_ - *server.probed_at < 1s) continue;
-        if (stalest && stalest->probed_at && (!server.probed_at || *server.probed_at < *stalest->probed_at))
-          stalest = nullptr;
-        if (!stalest) stalest = &server, asked = id;
-      }
-      if (!stalest) return;
-      probes_due_ -= 1;
-      stalest->probed_at = now_;
-      orders_.push_back(Probe{asked});
-    }
+  // Old knowledge of the server chosen is renewed before the set-up, where price and startup target allow.
+  bool worth_asking(const Playback& playback, const Server& server) const {
+    if (!terms_.may_probe || probes_due_ < 1 || playback.probes >= 2) return false;
+    if (playback.target_at - now_ < 2 * tick) return false;
+    return !server.reported_at || now_ - *server.reported_at > fresh_report;
+  }
+
+  void ask(Playback& playback, ServerId id) {
+    ++playback.probes;
+    playback.asked = id;
+    playback.asked_at = now_;
+    probes_due_ -= 1;
+    orders_.push_back(Probe{id});
   }
 
   SiteTerms terms_;
