--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -29,12 +29,13 @@
 // Parts of a link that room may fill: true rates leave the ladder, and newcomers need some.
 constexpr double filled_by_floor = 0.95;   // by a playback that can play no lower
 constexpr double filled_by_start = 0.85;    // by one that starts above its floor
-constexpr double filled_by_rise = 0.75;    // by one that rises
+constexpr double filled_by_margin = 0.7;   // by the first step that does not fit all who could use it
+constexpr double rise_leaves = 0.05;       // what a rise leaves free beyond that
 constexpr double fair_filled = 0.85;       // of all links, by all playbacks at their fair rungs
 constexpr double share_memory = 6;         // the share's mean reaches back so many note lags
 constexpr double report_weight = 0.7;      // what a new report counts against the older ones
 constexpr double rise_spacing = 30;        // a playback's rises lie so many switch costs apart at least
-constexpr double rise_payoff = 8;          // a rise earns so many times its price
+constexpr double rise_payoff = 4;          // a rise earns so many times its price
 constexpr double pace_kept = 0.8;          // part of this front's even part of a cold server's pace
 constexpr double probe_spending = 0.01;    // part of the revenue that probes may cost
 constexpr double most_probes_due = 4;
@@ -472,18 +473,26 @@
     return 0;
   }
 
+  // How far a link may be filled for this rung: the less its last step earns, the more stays free.
+  double filled_for(const Request& request, int rung, double fair) const {
+    if (rung <= floor_of(request)) return filled_by_floor;
+    const double value = step_value(request, rung);
+    return value > fair ? filled_by_start : value == fair ? filled_by_margin : 0;
+  }
+
   void rise() {
     const double fair = fair_value();
     std::vector<std::pair<double, Playback*>> wishes;
     for (auto& [id, playback] : playbacks_) {
-      if (may_rise(playback, fair))
+      if (may_rise(playback))
         wishes.emplace_back(-step_value(playback.request, playback.rung + 1), &playback);
     }
     std::stable_sort(wishes.begin(), wishes.end(), [](auto& a, auto& b) { return a.first < b.first; });
     for (const auto& [value, playback] : wishes) {
       auto& server = servers_[playback->server];
       const double more = rate(playback->request, playback->rung + 1) - rate(playback->request, playback->rung);
-      if (more > room(server, filled_by_rise)) continue;
+      const double filled = filled_for(playback->request, playback->rung + 1, fair) - rise_leaves;
+      if (more > room(server, filled)) continue;
       change_rung(*playback, playback->rung + 1);
     }
   }
@@ -494,13 +503,13 @@
     return gained * seconds(left_of(playback)) > rise_payoff * seconds(terms_.switch_cost);
   }
 
-  bool may_rise(const Playback& playback, double fair) {
+  bool may_rise(const Playback& playback) {
     if (playback.state != Playback::State::playing || playback.withdrawn) return false;
     if (playback.rung >= top_of(playback.request)) return false;
     const auto& server = servers_[playback.server];
     if (server.short_since || server.strikes > 0) return false;
     if (now_ - playback.rung_since < rise_spacing * terms_.switch_cost) return false;
-    return step_value(playback.request, playback.rung + 1) > fair && rise_pays(playback);
+    return rise_pays(playback);
   }
 
   // ---- placing ----
@@ -587,10 +596,8 @@
     if (!may_try(playback)) return give_up(playback);
     const auto& request = playback.request;
     const double fair = fair_value();
-    int rung = top_of(request);
-    while (rung > floor_of(request) && step_value(request, rung) <= fair) --rung;
-    for (; rung >= floor_of(request); --rung) {
-      const auto id = choose(request, rung);
+    for (int rung = top_of(request); rung >= floor_of(request); --rung) {
+      const auto id = choose(request, rung, filled_for(request, rung, fair));
       if (!id) continue;
       if (worth_asking(playback, servers_[*id])) return ask(playback, *id);
       return send(playback, *id, rung);
@@ -609,8 +616,7 @@
   }
 
   // The page's choice: window room and room for the rung, least spread, ties to most room.
-  std::optional<ServerId> choose(const Request& request, int rung) {
-    const double filled = rung > floor_of(request) ? filled_by_start : filled_by_floor;
+  std::optional<ServerId> choose(const Request& request, int rung, double filled) {
     std::optional<ServerId> best;
     double best_spread = 0, best_room = 0;
     for (auto& [id, server] : servers_) {
