Rise to the highest rung that room fits in one switch, handed-over playbacks at once

A report-less uplink now counts by an even part, as links do; rises leave a tenth and must earn 8 times their price.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,12 +30,12 @@
 constexpr double filled_by_floor = 0.95;   // by a playback that can play no lower
 constexpr double filled_by_start = 0.85;    // by one that starts above its floor
 constexpr double filled_by_margin = 0.7;   // by the first step that does not fit all who could use it
-constexpr double rise_leaves = 0.05;       // what a rise leaves free beyond that
+constexpr double rise_leaves = 0.1;       // what a rise leaves free beyond that
 constexpr double fair_filled = 0.85;       // of all links, by all playbacks at their fair rungs
 constexpr double share_memory = 6;         // the share's mean reaches back so many note lags
 constexpr double report_weight = 0.7;      // what a new report counts against the older ones
 constexpr double rise_spacing = 30;        // a playback's rises lie so many switch costs apart at least
-constexpr double rise_payoff = 4;          // a rise earns so many times its price
+constexpr double rise_payoff = 8;          // a rise earns so many times its price
 constexpr double pace_kept = 0.8;          // part of this front's even part of a cold server's pace
 constexpr double probe_spending = 0.01;    // part of the revenue that probes may cost
 constexpr double most_probes_due = 4;
@@ -145,7 +145,7 @@
   Span asked_at{0};
   bool may_have_run = false;
   bool withdrawn = false;
-  Span rung_since{0};
+  std::optional<Span> chosen_at;  // when this front last chose its rung
   std::optional<Span> ends_at;
 };
 
@@ -209,7 +209,7 @@
     if (found == playbacks_.end() || found->second.state != Playback::State::setting_up) return;
     auto& server = servers_[what.server];
     found->second.state = Playback::State::playing;
-    found->second.rung_since = now_;
+    found->second.chosen_at = now_;
     --server.setting_up;
     server.strikes = 0;
   }
@@ -334,8 +334,9 @@
   }
 
   double room_in(const Rack& rack, double filled) {
-    if (!rack.others_kb) return terms_.all_links_kb;
-    return terms_.uplink_kb * filled - own_in(rack) - *rack.others_kb;
+    const double rest = terms_.uplink_kb * filled - own_in(rack);
+    if (terms_.uplink_kb <= 0) return std::numeric_limits<double>::max();
+    return rack.others_kb ? rest - *rack.others_kb : rest / terms_.fronts;
   }
 
   // ---- shortfall ----
@@ -385,11 +386,11 @@
     auto& server = servers_[playback.server];
     server.own_kb += rate(playback.request, rung) - rate(playback.request, playback.rung);
     playback.rung = rung;
-    playback.rung_since = now_;
   }
 
   void change_rung(Playback& playback, int rung) {
     set_held_rung(playback, rung);
+    playback.chosen_at = now_;
     orders_.push_back(SetRung{playback.request.playback, rung});
   }
 
@@ -480,6 +481,8 @@
     return value > fair ? filled_by_start : value == fair ? filled_by_margin : 0;
   }
 
+  // Playbacks whose next step earns most rise first, each to the highest rung that room fits: a switch costs
+  // the same over one rung or several.
   void rise() {
     const double fair = fair_value();
     std::vector<std::pair<double, Playback*>> wishes;
@@ -489,17 +492,25 @@
     }
     std::stable_sort(wishes.begin(), wishes.end(), [](auto& a, auto& b) { return a.first < b.first; });
     for (const auto& [value, playback] : wishes) {
-      auto& server = servers_[playback->server];
-      const double more = rate(playback->request, playback->rung + 1) - rate(playback->request, playback->rung);
-      const double filled = filled_for(playback->request, playback->rung + 1, fair) - rise_leaves;
-      if (more > room(server, filled)) continue;
-      change_rung(*playback, playback->rung + 1);
+      const int rung = rung_to_rise_to(*playback, fair);
+      if (rung > playback->rung && rise_pays(*playback, rung)) change_rung(*playback, rung);
     }
   }
 
-  bool rise_pays(const Playback& playback) const {
+  int rung_to_rise_to(const Playback& playback, double fair) {
+    const auto& request = playback.request;
+    auto& server = servers_[playback.server];
+    int rung = top_of(request);
+    for (; rung > playback.rung; --rung) {
+      const double more = rate(request, rung) - rate(request, playback.rung);
+      if (more <= room(server, filled_for(request, rung, fair) - rise_leaves)) break;
+    }
+    return rung;
+  }
+
+  bool rise_pays(const Playback& playback, int rung) const {
     const auto& revenue = terms_.rung_revenue;
-    const double gained = revenue.at(playback.rung + 1) - revenue.at(playback.rung);
+    const double gained = revenue.at(rung) - revenue.at(playback.rung);
     return gained * seconds(left_of(playback)) > rise_payoff * seconds(terms_.switch_cost);
   }
 
@@ -508,8 +519,7 @@
     if (playback.rung >= top_of(playback.request)) return false;
     const auto& server = servers_[playback.server];
     if (server.short_since || server.strikes > 0) return false;
-    if (now_ - playback.rung_since < rise_spacing * terms_.switch_cost) return false;
-    return rise_pays(playback);
+    return !playback.chosen_at || now_ - *playback.chosen_at >= rise_spacing * terms_.switch_cost;
   }
 
   // ---- placing ----
@@ -524,7 +534,6 @@
   void attach(Playback& playback, ServerId id) {
     auto& server = servers_[id];
     playback.server = id;
-    playback.rung_since = now_;
     server.own_kb += rate(playback.request, playback.rung);
     ++server.held;
   }
