--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,10 +38,11 @@
 constexpr double rise_payoff = 8;          // a rise earns so many times its price
 constexpr double pace_kept = 0.8;          // part of this front's even part of a cold server's pace
 constexpr double probe_spending = 0.01;    // part of the revenue that probes may cost
+constexpr int most_probes = 2;             // before one set-up
 constexpr double most_probes_due = 4;
 constexpr Span fresh_report = 1s;
 constexpr double first_try_share = 0.45;   // part of the time to the startup target that one try may take
-constexpr double back_off_least = 0.125;   // a failing server rests so many cold times at first
+constexpr double first_rest = 1;           // a failing server rests so many startup targets, doubling
 constexpr double come_back_part = 0.5;     // of the longest come-back time
 constexpr Span tick = 250ms;
 constexpr std::uint32_t tick_token = 1;
@@ -247,7 +248,12 @@
     if (timer.token != tick_token) return;
     orders_.push_back(SetTimer{tick, tick_token});
     if (std::exchange(ask_for_list_, false)) orders_.push_back(FollowList{});
-    place_waiting([&](const Playback& playback) { return now_ - playback.asked_at > tick; });
+    // A probe that stays out must not hold its playback: it is placed by what is known.
+    place_waiting([&](Playback& playback) {
+      if (now_ - playback.asked_at <= tick) return false;
+      playback.probes = most_probes;
+      return true;
+    });
     rise();
   }
 
@@ -711,12 +717,18 @@
   // failed may come back cold.
   void strike(Server& server) {
     if (now_ < server.rests_until) return;
-    const double rest = back_off_least * std::exp2(std::min(server.strikes, 3)) * seconds(terms_.cold_time);
+    const double rest = first_rest * std::exp2(std::min(server.strikes, 3)) * seconds(shortest_target());
     ++server.strikes;
     server.rests_until = now_ + span_of(rest);
     server.cold_since = now_;
   }
 
+  Span shortest_target() const {
+    Span shortest = Span::max();
+    for (const auto& plan : terms_.plans) shortest = std::min(shortest, plan.startup_target);
+    return shortest;
+  }
+
   // ---- probes ----
   double probes_per_playback() const {
     if (!terms_.may_probe) return 0;
@@ -725,7 +737,7 @@
 
   // Old knowledge of the server chosen is renewed before the set-up, where price and startup target allow.
   bool worth_asking(const Playback& playback, const Server& server) const {
-    if (!terms_.may_probe || probes_due_ < 1 || playback.probes >= 2) return false;
+    if (!terms_.may_probe || probes_due_ < 1 || playback.probes >= most_probes) return false;
     if (playback.target_at - now_ < 2 * tick) return false;
     return !server.reported_at || now_ - *server.reported_at > fresh_report;
   }
