--- a/tests/scenario_runner.cpp
+++ b/tests/scenario_runner.cpp
@@ -127,6 +127,7 @@
     else if (what == "count") assert(count(rest(words, 2)) == std::stoi(words.at(1)));
     else if (what == "pass") pass(Span(std::stoll(words.at(1)) * 1000));
     else happen(event(words, named));
+    if (what != "expect") tell();
   }
 
  private:
@@ -142,6 +143,10 @@
     }));
   }
 
+  void tell() const {
+    for (const auto& said : said_) std::cerr << "    said: " << said << "\n";
+  }
+
   void happen(const Event& event) {
     said_.clear();
     hand(event);
