--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -33,6 +33,7 @@
 constexpr double rise_leaves = 0.1;       // what a rise leaves free beyond that
 constexpr double fair_filled = 0.85;       // of all links, by all playbacks at their fair rungs
 constexpr double share_memory = 6;         // the share's mean reaches back so many note lags
+constexpr double uplink_memory = 10;       // likewise what an uplink was seen to give
 constexpr double report_weight = 0.7;      // what a new report counts against the older ones
 constexpr double rise_spacing = 30;        // a playback's rises lie so many switch costs apart at least
 constexpr double rise_payoff = 8;          // a rise earns so many times its price
@@ -151,7 +152,9 @@
 };
 
 struct Rack {
-  std::optional<double> others_kb;
+  std::optional<double> others_kb;  // from reports of the uplink, where there are any
+  std::optional<double> gave_kb;    // what an uplink without reports was last seen to give when short
+  Span gave_at{0};
 };
 
 }  // namespace
@@ -340,9 +343,46 @@
   }
 
   double room_in(const Rack& rack, double filled) {
-    const double rest = terms_.uplink_kb * filled - own_in(rack);
     if (terms_.uplink_kb <= 0) return std::numeric_limits<double>::max();
-    return rack.others_kb ? rest - *rack.others_kb : rest / terms_.fronts;
+    const double uplink = uplink_of(rack) * filled;
+    if (rack.others_kb) return uplink - own_in(rack) - *rack.others_kb;
+    if (rack.gave_kb) return uplink - asked_of(rack);
+    return (uplink - own_in(rack)) / terms_.fronts;
+  }
+
+  // What servers' reports tell of all that is asked of a rack.
+  double asked_of(const Rack& rack) {
+    double asked = 0;
+    for (auto& [id, server] : servers_) {
+      if (&rack_of(server) == &rack && server.standing == Standing::ready)
+        asked += server.own_kb + server.others_kb.value_or(0);
+    }
+    return asked;
+  }
+
+  // The told uplink, or what it was seen to give, trusted less as that grows old.
+  double uplink_of(const Rack& rack) const {
+    if (!rack.gave_kb) return terms_.uplink_kb;
+    const double kept = std::exp(-seconds(now_ - rack.gave_at) / (uplink_memory * seconds(silence())));
+    return terms_.uplink_kb + kept * (*rack.gave_kb - terms_.uplink_kb);
+  }
+
+  // Guards against an uplink that no report shows: most servers of a rack short at once while reports tell
+  // room on their links. Also covers a rack's switch or power fault that slows all its servers; does harm
+  // where several links fall short for reasons of their own while their reports are old.
+  void judge_uplink(Server& server, double share) {
+    auto& rack = rack_of(server);
+    if (terms_.uplink_kb <= 0 || rack.others_kb) return;
+    int held = 0, cut = 0;
+    for (auto& [id, other] : servers_) {
+      if (&rack_of(other) != &rack || other.held == 0) continue;
+      const bool fits = other.own_kb + other.others_kb.value_or(0) < full_share * link_of(other);
+      ++held;
+      if (other.short_since && now_ - other.last_short <= 2 * silence() && fits) ++cut;
+    }
+    if (cut < 2 || 2 * cut <= held) return;
+    rack.gave_kb = asked_of(rack) * share;
+    rack.gave_at = now_;
   }
 
   // ---- shortfall ----
@@ -361,6 +401,7 @@
       server.window.cut(server.held, now_);
       server.mean_at_loss = mean;
     }
+    judge_uplink(server, share);
     drop_rungs(server, share);
   }
 
@@ -461,7 +502,7 @@
     }
     double all = 0, free = 0;
     for (std::size_t rack = 0; rack < racks_.size(); ++rack) {
-      const double carried = fair_filled * (terms_.uplink_kb > 0 ? std::min(links[rack], terms_.uplink_kb) : links[rack]);
+      const double carried = fair_filled * (terms_.uplink_kb > 0 ? std::min(links[rack], uplink_of(racks_[rack])) : links[rack]);
       all += carried;
       free += carried - others[rack];
     }
