--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -659,6 +659,7 @@
       return send(playback, *id, rung);
     }
     if (const auto id = make_room(playback)) return send(playback, *id, floor_of(request));
+    if (const auto id = stalest_holder(request); id && may_ask(playback, servers_[*id])) return ask(playback, *id);
     give_up(playback);
   }
 
@@ -778,11 +779,25 @@
 
   // Old knowledge of the server chosen is renewed before the set-up, where price and startup target allow.
   bool worth_asking(const Playback& playback, const Server& server) const {
-    if (!terms_.may_probe || probes_due_ < 1 || playback.probes >= most_probes) return false;
+    return probes_due_ >= 1 && may_ask(playback, server);
+  }
+
+  bool may_ask(const Playback& playback, const Server& server) const {
+    if (!terms_.may_probe || probes_due_ < -most_probes_due || playback.probes >= most_probes) return false;
     if (playback.target_at - now_ < 2 * tick) return false;
     return !server.reported_at || now_ - *server.reported_at > fresh_report;
   }
 
+  // Guards against turning viewers away for room that has since come free.
+  std::optional<ServerId> stalest_holder(const Request& request) {
+    std::optional<ServerId> stalest;
+    for (auto& [id, server] : servers_) {
+      if (!open_to(server, request)) continue;
+      if (!stalest || server.reported_at < servers_[*stalest].reported_at) stalest = id;
+    }
+    return stalest;
+  }
+
   void ask(Playback& playback, ServerId id) {
     ++playback.probes;
     playback.asked = id;
