--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -130,7 +130,7 @@
 
   int strikes = 0;
   Span rests_until{0};
-  Span cold_since{0};
+  std::optional<Span> cold_since;
   std::optional<Span> last_set_up;
 };
 
@@ -281,7 +281,7 @@
       server.rests_until = now_;
       server.others_kb.reset();
     }
-    if (server.started) server.cold_since = std::max(server.cold_since, *server.started);
+    if (server.started) server.cold_since = std::max(server.cold_since.value_or(*server.started), *server.started);
     if (!server.listed) server.window.open_at(std::max(1.0, streams_of(server) - server.held), now_);
     server.listed = true;
   }
@@ -610,15 +610,21 @@
     return server.held + 1 <= server.window.size(now_) && within_pace(server);
   }
 
-  // A server just started, seen failing, or unknown to a front that has itself just started, takes no more
-  // than this front's even part of the pace at which it may be set up.
+  // A server just started or seen failing takes no more than this front's even part of the pace at which it
+  // may be set up. A front that has itself just started can't tell; few others start with it, so half is its.
   bool within_pace(const Server& server) const {
-    const Span age = now_ - server.cold_since;
-    if (terms_.cold_time <= 0s || age >= terms_.cold_time || !server.last_set_up) return true;
-    const double warmed = std::clamp(seconds(age) / seconds(terms_.cold_time), 0.0, 1.0);
+    if (!server.last_set_up) return true;
+    const Span age = now_ - server.cold_since.value_or(-terms_.cold_time);
+    return keeps_pace(server, age, terms_.fronts) && keeps_pace(server, now_, std::min(terms_.fronts, 2));
+  }
+
+  // Whether one of so many fronts may send a server of that age a further set-up now.
+  bool keeps_pace(const Server& server, Span age, int fronts) const {
+    if (age >= terms_.cold_time) return true;
+    const double warmed = std::max(0.0, seconds(age) / seconds(terms_.cold_time));
     const double warmth = terms_.cold_from + (1 - terms_.cold_from) * warmed * warmed;
     const double pace = streams_of(server) / seconds(terms_.cold_time) * warmth * terms_.overload_multiple;
-    return seconds(now_ - *server.last_set_up) * pace * pace_kept >= terms_.fronts;
+    return seconds(now_ - *server.last_set_up) * pace * pace_kept >= fronts;
   }
 
   bool has_seat(const Request& request) const {
