--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -28,9 +28,9 @@
 
 // Parts of a link that room may fill: true rates leave the ladder, and newcomers need some.
 constexpr double filled_by_floor = 0.95;   // by a playback that can play no lower
-constexpr double filled_by_start = 0.85;    // by one that starts above its floor
-constexpr double filled_by_margin = 0.7;   // by the first step that does not fit all who could use it
-constexpr double rise_leaves = 0.1;       // what a rise leaves free beyond that
+constexpr double filled_by_start = 0.9;    // by one that starts above its floor
+constexpr double filled_by_margin = 0.8;   // by the first step that does not fit all who could use it
+constexpr double rise_leaves = 0.2;       // what a rise leaves free beyond that
 constexpr double fair_filled = 0.85;       // of all links, by all playbacks at their fair rungs
 constexpr double share_memory = 6;         // the share's mean reaches back so many note lags
 constexpr double uplink_memory = 10;       // likewise what an uplink was seen to give
