Rise into this front's even part of room, and leave others theirs until they report

Rises take an even part of the room told; where others have not reported they are left an even part of the link; a front that may probe asks the servers of handed-over playbacks until they report.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,7 +30,6 @@
 constexpr double filled_by_floor = 0.95;   // by a playback that can play no lower
 constexpr double filled_by_start = 0.9;    // by one that starts above its floor
 constexpr double filled_by_margin = 0.8;   // by the first step that does not fit all who could use it
-constexpr double rise_leaves = 0.2;       // what a rise leaves free beyond that
 constexpr double fair_filled = 0.85;       // of all links, by all playbacks at their fair rungs
 constexpr double share_memory = 6;         // the share's mean reaches back so many note lags
 constexpr double uplink_memory = 10;       // likewise what an uplink was seen to give
@@ -127,6 +126,8 @@
   int setting_up = 0;
   std::optional<double> others_kb;  // what reports leave for all the rest, ladder errors included
   std::optional<Span> reported_at;
+  Span asked_at{0};     // before the first report
+  double risen_kb = 0;  // by rises of this front since the last report
 
   int strikes = 0;
   Span rests_until{0};
@@ -257,6 +258,7 @@
       playback.probes = most_probes;
       return true;
     });
+    ask_where_playbacks_play();
     rise();
   }
 
@@ -313,6 +315,7 @@
     if (load.link_fill) {
       learn(server.others_kb, *load.link_fill * link_of(server) - server.own_kb);
       server.reported_at = now_;
+      server.risen_kb = 0;
     }
     if (load.uplink_fill) {
       auto& rack = rack_of(server);
@@ -334,11 +337,12 @@
 
   Span silence() const { return std::max<Span>(terms_.note_lag, 500ms) + 500ms; }
 
-  // The page's room: told link times mean share, less own rungs and the others' use, or an even part.
+  // The page's room: told link times mean share, less own rungs and the others' use. Where others have not
+  // reported, they are left their even part of the link.
   double room(Server& server, double filled) {
     const double link = link_of(server) * filled * server.shares.mean(now_, silence());
     const double rest = link - server.own_kb;
-    const double in_link = server.others_kb ? rest - *server.others_kb : rest / terms_.fronts;
+    const double in_link = server.others_kb ? rest - *server.others_kb : link / terms_.fronts - server.own_kb;
     return std::min(in_link, room_in(rack_of(server), filled));
   }
 
@@ -347,7 +351,7 @@
     const double uplink = uplink_of(rack) * filled;
     if (rack.others_kb) return uplink - own_in(rack) - *rack.others_kb;
     if (rack.gave_kb) return uplink - asked_of(rack);
-    return (uplink - own_in(rack)) / terms_.fronts;
+    return uplink / terms_.fronts - own_in(rack);
   }
 
   // What servers' reports tell of all that is asked of a rack.
@@ -529,7 +533,7 @@
   }
 
   // Playbacks whose next step earns most rise first, each to the highest rung that room fits: a switch costs
-  // the same over one rung or several.
+  // the same over one rung or several. All fronts hear of the same room at once, so each takes its even part.
   void rise() {
     const double fair = fair_value();
     std::vector<std::pair<double, Playback*>> wishes;
@@ -540,7 +544,9 @@
     std::stable_sort(wishes.begin(), wishes.end(), [](auto& a, auto& b) { return a.first < b.first; });
     for (const auto& [value, playback] : wishes) {
       const int rung = rung_to_rise_to(*playback, fair);
-      if (rung > playback->rung && rise_pays(*playback, rung)) change_rung(*playback, rung);
+      if (rung <= playback->rung || !rise_pays(*playback, rung)) continue;
+      servers_[playback->server].risen_kb += rate(playback->request, rung) - rate(playback->request, playback->rung);
+      change_rung(*playback, rung);
     }
   }
 
@@ -550,7 +556,8 @@
     int rung = top_of(request);
     for (; rung > playback.rung; --rung) {
       const double more = rate(request, rung) - rate(request, playback.rung);
-      if (more <= room(server, filled_for(request, rung, fair) - rise_leaves)) break;
+      const double free = room(server, filled_for(request, rung, fair)) + server.risen_kb;
+      if (more + server.risen_kb <= free / terms_.fronts) break;
     }
     return rung;
   }
@@ -794,6 +801,16 @@
     return !server.reported_at || now_ - *server.reported_at > fresh_report;
   }
 
+  // Playbacks handed over should not wait for a set-up to bring the first report of their server.
+  void ask_where_playbacks_play() {
+    if (!terms_.may_probe) return;
+    for (auto& [id, server] : servers_) {
+      if (server.held == 0 || server.others_kb || now_ - server.asked_at < terms_.note_lag) continue;
+      server.asked_at = now_;
+      orders_.push_back(Probe{id});
+    }
+  }
+
   // Guards against turning viewers away for room that has since come free.
   std::optional<ServerId> stalest_holder(const Request& request) {
     std::optional<ServerId> stalest;
