--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -33,6 +33,7 @@
 constexpr double fair_filled = 0.85;       // of all links, by all playbacks at their fair rungs
 constexpr double share_memory = 6;         // the share's mean reaches back so many note lags
 constexpr double uplink_memory = 10;       // likewise what an uplink was seen to give
+constexpr double herd = 0.5;               // kB that each other front is taken to add for each of this front's
 constexpr double report_weight = 0.7;      // what a new report counts against the older ones
 constexpr double rise_spacing = 30;        // a playback's rises lie so many switch costs apart at least
 constexpr double rise_payoff = 8;          // a rise earns so many times its price
@@ -127,7 +128,7 @@
   std::optional<double> others_kb;  // what reports leave for all the rest, ladder errors included
   std::optional<Span> reported_at;
   Span asked_at{0};     // before the first report
-  double risen_kb = 0;  // by rises of this front since the last report
+  double added_kb = 0;  // by starts and rises of this front since the last report
 
   int strikes = 0;
   Span rests_until{0};
@@ -315,7 +316,7 @@
     if (load.link_fill) {
       learn(server.others_kb, *load.link_fill * link_of(server) - server.own_kb);
       server.reported_at = now_;
-      server.risen_kb = 0;
+      server.added_kb = 0;
     }
     if (load.uplink_fill) {
       auto& rack = rack_of(server);
@@ -342,7 +343,10 @@
   double room(Server& server, double filled) {
     const double link = link_of(server) * filled * server.shares.mean(now_, silence());
     const double rest = link - server.own_kb;
-    const double in_link = server.others_kb ? rest - *server.others_kb : link / terms_.fronts - server.own_kb;
+    // Guards against all fronts filling the same room between reports; floors are small enough to go in.
+    const double unseen = filled < filled_by_floor ? herd * (terms_.fronts - 1) * server.added_kb : 0;
+    const double in_link =
+        server.others_kb ? rest - *server.others_kb - unseen : link / terms_.fronts - server.own_kb;
     return std::min(in_link, room_in(rack_of(server), filled));
   }
 
@@ -545,7 +549,7 @@
     for (const auto& [value, playback] : wishes) {
       const int rung = rung_to_rise_to(*playback, fair);
       if (rung <= playback->rung || !rise_pays(*playback, rung)) continue;
-      servers_[playback->server].risen_kb += rate(playback->request, rung) - rate(playback->request, playback->rung);
+      servers_[playback->server].added_kb += rate(playback->request, rung) - rate(playback->request, playback->rung);
       change_rung(*playback, rung);
     }
   }
@@ -556,8 +560,7 @@
     int rung = top_of(request);
     for (; rung > playback.rung; --rung) {
       const double more = rate(request, rung) - rate(request, playback.rung);
-      const double free = room(server, filled_for(request, rung, fair)) + server.risen_kb;
-      if (more + server.risen_kb <= free / terms_.fronts) break;
+      if (more * terms_.fronts <= room(server, filled_for(request, rung, fair))) break;
     }
     return rung;
   }
@@ -734,6 +737,7 @@
     ++playback.tries;
     ++server.setting_up;
     server.last_set_up = now_;
+    server.added_kb += rate(request, rung);
     orders_.push_back(SetRung{request.playback, rung});
     orders_.push_back(SetUp{request.playback, id, time_limit(playback)});
   }
