--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -145,9 +145,7 @@
   forget_if_done(playback);
 }
 
-void Instance::try_ended(PlaybackId playback) {
-  --doors_.at(playback).tries_out;
-}
+void Instance::try_ended(PlaybackId playback) { --doors_.at(playback).tries_out; }
 
 void Instance::forget_if_done(PlaybackId playback) {
   const auto found = doors_.find(playback);
@@ -230,7 +228,8 @@
   if (name == "ITEM") return add_entry(fields);
   if (name == "TABLE") {
     const auto page = fields.integer("a list number from 0 to 15");
-    if (page < 0 || page > 15) throw Malformed("malformed line '" + std::string(line) + "': expected 0 to 15");
+    if (page < 0 || page > 15)
+      throw Malformed("malformed line '" + std::string(line) + "': expected 0 to 15");
     page_ = static_cast<std::size_t>(page);
     entries_due_ = fields.integer("the number of entries");
     if (entries_due_ < 0) throw Malformed("malformed line '" + std::string(line) + "': expected a count");
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,6 +1,7 @@
-// The decision module. Its caller hands Brain::handle the time (a span since this session manager started)
-// and one thing that happened, and carries out the orders returned, in their order. The interface is in
-// brain.h; all decisions, tables and tuned values are here. docs/design.md tells what is kept of Sunstar.
+// The decision module. Its caller hands Brain::handle the time (a span since this session manager
+// started) and one thing that happened, and carries out the orders returned, in their order. The
+// interface is in brain.h; all decisions, tables and tuned values are here. docs/design.md tells what
+// is kept of Sunstar.
 #include "brain.h"
 
 #include <algorithm>
@@ -27,24 +28,27 @@
 constexpr double spread_tie = 0.1;
 
 // Parts of a link that room may fill: true rates leave the ladder, and newcomers need some.
-constexpr double filled_by_floor = 0.95;   // by a playback that can play no lower
-constexpr double filled_by_start = 0.9;    // by one that starts above its floor
-constexpr double filled_by_margin = 0.8;   // by the first step that does not fit all who could use it
-constexpr double fair_filled = 0.85;       // of all links, by all playbacks at their fair rungs
-constexpr double share_memory = 6;         // the share's mean reaches back so many note lags
-constexpr double uplink_memory = 10;       // likewise what an uplink was seen to give
-constexpr double herd = 0.5;               // kB that each other front is taken to add for each of this front's
-constexpr double report_weight = 0.7;      // what a new report counts against the older ones
-constexpr double rise_spacing = 30;        // a playback's rises lie so many switch costs apart at least
-constexpr double rise_payoff = 8;          // a rise earns so many times its price
-constexpr double pace_kept = 0.8;          // part of this front's even part of a cold server's pace
-constexpr double probe_spending = 0.01;    // part of the revenue that probes may cost
-constexpr int most_probes = 2;             // before one set-up
+constexpr double filled_by_floor = 0.95;  // by a playback that can play no lower
+constexpr double filled_by_start = 0.9;   // by one that starts above its floor
+constexpr double filled_by_margin = 0.8;  // by the first step that does not fit all who could use it
+constexpr double fair_filled = 0.85;      // of all links, by all playbacks at their fair rungs
+constexpr double share_memory = 6;        // the share's mean reaches back so many note lags
+constexpr double uplink_memory = 10;      // likewise what an uplink was seen to give
+constexpr double herd = 0.5;              // kB that each other front is taken to add for each of this front's
+constexpr double report_weight = 0.7;     // what a new report counts against the older ones
+constexpr double rise_spacing = 30;       // a playback's rises lie so many switch costs apart at least
+constexpr double rise_payoff = 8;         // a rise earns so many times its price
+constexpr double pace_kept = 0.8;         // part of this front's even part of a cold server's pace
+constexpr double probe_spending = 0.01;   // part of the revenue that probes may cost
+constexpr int most_probes = 2;            // before one set-up
 constexpr double most_probes_due = 4;
 constexpr Span fresh_report = 1s;
-constexpr double first_try_share = 0.45;   // part of the time to the startup target that one try may take
-constexpr double first_rest = 1;           // a failing server rests so many startup targets, doubling
-constexpr double come_back_part = 0.5;     // of the longest come-back time
+constexpr double first_try_share = 0.45;  // part of the time to the startup target that one try may take
+constexpr double first_rest = 1;          // a failing server rests so many startup targets, doubling
+constexpr double come_back_part = 0.5;    // of the longest come-back time
+constexpr Span first_life = 30s;          // how long playbacks last until this front knows
+constexpr double first_lives = 10;        // so many lives of its own count as much as that
+constexpr double most_foretold = 4;       // times the playbacks held
 constexpr Span tick = 250ms;
 constexpr std::uint32_t tick_token = 1;
 
@@ -92,6 +96,21 @@
   Span settled_{0};
 };
 
+// A sum that fades: brought up to date when read.
+class FadingSum {
+ public:
+  void add(Span now, double value, Span memory) { sum_ = read(now, memory) + value; }
+  double read(Span now, Span memory) {
+    sum_ *= std::exp(-seconds(now - read_at_) / seconds(memory));
+    read_at_ = now;
+    return sum_;
+  }
+
+ private:
+  double sum_ = 0;
+  Span read_at_{0};
+};
+
 // A CUBIC window: cut on a loss, regrown by the cubic.
 struct Window {
   double peak = 0;
@@ -140,12 +159,13 @@
   enum class State { waiting, setting_up, playing };
   Request request;
   State state = State::waiting;
+  Span since{0};
   Span target_at{0};
   ServerId server = 0;
   int rung = 0;
   int tries = 0;
-  int probes = 0;                  // made for this playback before it was placed
-  std::optional<ServerId> asked;   // the probe that it waits for
+  int probes = 0;                 // made for this playback before it was placed
+  std::optional<ServerId> asked;  // the probe that it waits for
   Span asked_at{0};
   bool may_have_run = false;
   bool withdrawn = false;
@@ -216,6 +236,7 @@
     auto& server = servers_[what.server];
     found->second.state = Playback::State::playing;
     found->second.chosen_at = now_;
+    starts_.add(now_, 1, first_life);
     --server.setting_up;
     server.strikes = 0;
   }
@@ -226,6 +247,7 @@
     if (found == playbacks_.end()) return;
     auto& playback = found->second;
     judge_outcome(servers_[what.server], playback, what.outcome);
+    if (what.outcome == Outcome::served && !playback.request.length) learn_life(now_ - playback.since);
     detach(playback);
     if (what.over || playback.withdrawn) return forget(what.playback);
     place(playback);
@@ -243,9 +265,12 @@
       case Note::About::rung:
         if (found != playbacks_.end()) set_held_rung(found->second, static_cast<int>(note.value));
         return;
-      case Note::About::link_fill: return take_report(note.server, {note.value, {}, {}});
-      case Note::About::uplink_fill: return take_report(note.server, {{}, note.value, {}});
-      case Note::About::share: return take_share(servers_[note.server], note.value);
+      case Note::About::link_fill:
+        return take_report(note.server, {note.value, {}, {}});
+      case Note::About::uplink_fill:
+        return take_report(note.server, {{}, note.value, {}});
+      case Note::About::share:
+        return take_share(servers_[note.server], note.value);
     }
   }
 
@@ -284,7 +309,8 @@
       server.rests_until = now_;
       server.others_kb.reset();
     }
-    if (server.started) server.cold_since = std::max(server.cold_since.value_or(*server.started), *server.started);
+    if (server.started)
+      server.cold_since = std::max(server.cold_since.value_or(*server.started), *server.started);
     if (!server.listed) server.window.open_at(std::max(1.0, streams_of(server) - server.held), now_);
     server.listed = true;
   }
@@ -338,12 +364,13 @@
 
   Span silence() const { return std::max<Span>(terms_.note_lag, 500ms) + 500ms; }
 
-  // The page's room: told link times mean share, less own rungs and the others' use. Where others have not
-  // reported, they are left their even part of the link.
+  // The page's room: told link times mean share, less own rungs and the others' use. Where others have
+  // not reported, they are left their even part of the link.
   double room(Server& server, double filled) {
     const double link = link_of(server) * filled * server.shares.mean(now_, silence());
     const double rest = link - server.own_kb;
-    // Guards against all fronts filling the same room between reports; floors are small enough to go in.
+    // Guards against all fronts filling the same room between reports; floors are small enough to go
+    // in.
     const double unseen = filled < filled_by_floor ? herd * (terms_.fronts - 1) * server.added_kb : 0;
     const double in_link =
         server.others_kb ? rest - *server.others_kb - unseen : link / terms_.fronts - server.own_kb;
@@ -375,9 +402,9 @@
     return terms_.uplink_kb + kept * (*rack.gave_kb - terms_.uplink_kb);
   }
 
-  // Guards against an uplink that no report shows: most servers of a rack short at once while reports tell
-  // room on their links. Also covers a rack's switch or power fault that slows all its servers; does harm
-  // where several links fall short for reasons of their own while their reports are old.
+  // Guards against an uplink that no report shows: most servers of a rack short at once while reports
+  // tell room on their links. Also covers a rack's switch or power fault that slows all its servers;
+  // does harm where several links fall short for reasons of their own while their reports are old.
   void judge_uplink(Server& server, double share) {
     auto& rack = rack_of(server);
     if (terms_.uplink_kb <= 0 || rack.others_kb) return;
@@ -450,13 +477,13 @@
   }
 
   // What a playback still has before it, by its hint or else by how long the others have lasted.
-  Span left_of(const Playback& playback) const {
+  Span left_of(const Playback& playback) {
     const Span floor = terms_.switch_cost;
-    return playback.ends_at ? std::max(floor, *playback.ends_at - now_) : std::max(floor, usual_life_);
+    return playback.ends_at ? std::max(floor, *playback.ends_at - now_) : std::max(floor, usual_life());
   }
 
   // Revenue lost by stepping down to `rung`, the switch included.
-  double loss_of(const Playback& playback, int rung) const {
+  double loss_of(const Playback& playback, int rung) {
     const auto& revenue = terms_.rung_revenue;
     return terms_.plans[playback.request.plan].revenue *
            ((revenue.at(playback.rung) - revenue.at(rung)) * seconds(left_of(playback)) +
@@ -486,7 +513,8 @@
     return best;
   }
 
-  // Steps this front's playbacks there down until `needed` is free or that would lose more than `worth`.
+  // Steps this front's playbacks there down until `needed` is free or that would lose more than
+  // `worth`.
   void free_room(Server& server, double needed, double worth) {
     while (needed > 0) {
       const auto step = cheapest_step(server, needed);
@@ -497,8 +525,8 @@
     }
   }
 
-  // The revenue per kB at which this front's playbacks would fill its part of all links: steps worth less
-  // than that would leave no room for the others.
+  // The revenue per kB at which this front's playbacks would fill its part of all links: steps worth
+  // less than that would leave no room for the others.
   double fair_value() {
     std::vector<double> links(racks_.size()), others(racks_.size());
     for (auto& [id, server] : servers_) {
@@ -510,12 +538,16 @@
     }
     double all = 0, free = 0;
     for (std::size_t rack = 0; rack < racks_.size(); ++rack) {
-      const double carried = fair_filled * (terms_.uplink_kb > 0 ? std::min(links[rack], uplink_of(racks_[rack])) : links[rack]);
+      const double carried =
+          fair_filled * (terms_.uplink_kb > 0 ? std::min(links[rack], uplink_of(racks_[rack])) : links[rack]);
       all += carried;
       free += carried - others[rack];
     }
     double left = std::max(all / terms_.fronts, free);
     std::map<double, double, std::greater<>> asked;
+    // A front that has just started holds few playbacks yet: it counts those that its starts foretell.
+    const double held = static_cast<double>(std::max<std::size_t>(1, playbacks_.size()));
+    left /= std::clamp(foretold() / held, 1.0, most_foretold);
     for (const auto& [id, playback] : playbacks_) {
       const auto& request = playback.request;
       left -= rate(request, floor_of(request));
@@ -536,8 +568,26 @@
     return value > fair ? filled_by_start : value == fair ? filled_by_margin : 0;
   }
 
-  // Playbacks whose next step earns most rise first, each to the highest rung that room fits: a switch costs
-  // the same over one rung or several. All fronts hear of the same room at once, so each takes its even part.
+  // Playbacks whose next step earns most rise first, each to the highest rung that room fits: a switch
+  // costs the same over one rung or several. All fronts hear of the same room at once, so each takes
+  // its even part. How many playbacks this front will hold if starts go on as they have and last as
+  // long as usual.
+  double foretold() {
+    const double watched = -std::expm1(-seconds(now_ + tick) / seconds(first_life));
+    return starts_.read(now_, first_life) / watched * seconds(usual_life()) / seconds(first_life);
+  }
+
+  Span usual_life() {
+    const double known = lives_known_.read(now_, first_life);
+    const double lives = lives_.read(now_, first_life);
+    return span_of((first_lives * seconds(first_life) + lives) / (first_lives + known));
+  }
+
+  void learn_life(Span life) {
+    lives_.add(now_, seconds(life), first_life);
+    lives_known_.add(now_, 1, first_life);
+  }
+
   void rise() {
     const double fair = fair_value();
     std::vector<std::pair<double, Playback*>> wishes;
@@ -549,7 +599,8 @@
     for (const auto& [value, playback] : wishes) {
       const int rung = rung_to_rise_to(*playback, fair);
       if (rung <= playback->rung || !rise_pays(*playback, rung)) continue;
-      servers_[playback->server].added_kb += rate(playback->request, rung) - rate(playback->request, playback->rung);
+      servers_[playback->server].added_kb +=
+          rate(playback->request, rung) - rate(playback->request, playback->rung);
       change_rung(*playback, rung);
     }
   }
@@ -565,7 +616,7 @@
     return rung;
   }
 
-  bool rise_pays(const Playback& playback, int rung) const {
+  bool rise_pays(const Playback& playback, int rung) {
     const auto& revenue = terms_.rung_revenue;
     const double gained = revenue.at(rung) - revenue.at(playback.rung);
     return gained * seconds(left_of(playback)) > rise_payoff * seconds(terms_.switch_cost);
@@ -584,6 +635,8 @@
     auto& playback = playbacks_[request.playback];
     playback.request = request;
     playback.rung = floor_of(request);
+    playback.since = now_;
+    if (request.length) learn_life(*request.length);
     if (request.length) playback.ends_at = now_ + *request.length;
     return playback;
   }
@@ -620,8 +673,9 @@
     return server.held + 1 <= server.window.size(now_) && within_pace(server);
   }
 
-  // A server just started or seen failing takes no more than this front's even part of the pace at which it
-  // may be set up. A front that has itself just started can't tell; few others start with it, so half is its.
+  // A server just started or seen failing takes no more than this front's even part of the pace at
+  // which it may be set up. A front that has itself just started can't tell; few others start with it,
+  // so half is its.
   bool within_pace(const Server& server) const {
     if (!server.last_set_up) return true;
     const Span age = now_ - server.cold_since.value_or(-terms_.cold_time);
@@ -675,7 +729,8 @@
       return send(playback, *id, rung);
     }
     if (const auto id = make_room(playback)) return send(playback, *id, floor_of(request));
-    if (const auto id = stalest_holder(request); id && may_ask(playback, servers_[*id])) return ask(playback, *id);
+    if (const auto id = stalest_holder(request); id && may_ask(playback, servers_[*id]))
+      return ask(playback, *id);
     give_up(playback);
   }
 
@@ -706,12 +761,13 @@
     return best;
   }
 
-  // No holder has room for the lowest rung: one own playback steps down where it loses less than this earns.
+  // No holder has room for the lowest rung: one own playback steps down where it loses less than this
+  // earns.
   std::optional<ServerId> make_room(const Playback& playback) {
     const auto& request = playback.request;
     const int floor = floor_of(request);
-    const double earned = terms_.plans[request.plan].revenue * terms_.rung_revenue.at(floor) *
-                          seconds(left_of(playback));
+    const double earned =
+        terms_.plans[request.plan].revenue * terms_.rung_revenue.at(floor) * seconds(left_of(playback));
     std::optional<ServerId> best;
     StepDown best_step;
     for (auto& [id, server] : servers_) {
@@ -763,8 +819,8 @@
   // ---- health, from what this front's own tries met ----
   void judge_outcome(Server& server, Playback& playback, Outcome outcome) {
     const bool was_playing = playback.state == Playback::State::playing;
-    const bool proof = outcome == Outcome::full || outcome == Outcome::no_connection ||
-                       outcome == Outcome::not_sent;
+    const bool proof =
+        outcome == Outcome::full || outcome == Outcome::no_connection || outcome == Outcome::not_sent;
     if (!proof) playback.may_have_run = true;
     if (outcome == Outcome::reset || outcome == Outcome::no_connection ||
         (outcome == Outcome::late && !was_playing))
@@ -772,8 +828,8 @@
     if (outcome == Outcome::full) server.others_kb = std::max(server.others_kb.value_or(0), link_of(server));
   }
 
-  // Silence, a reset or a refused connection: rest, then one single try at a time until one starts. What
-  // failed may come back cold.
+  // Silence, a reset or a refused connection: rest, then one single try at a time until one starts.
+  // What failed may come back cold.
   void strike(Server& server) {
     if (now_ < server.rests_until) return;
     const double rest = first_rest * std::exp2(std::min(server.strikes, 3)) * seconds(shortest_target());
@@ -794,7 +850,8 @@
     return terms_.probe_price > 0 ? std::min(2.0, probe_spending / terms_.probe_price) : 2.0;
   }
 
-  // Old knowledge of the server chosen is renewed before the set-up, where price and startup target allow.
+  // Old knowledge of the server chosen is renewed before the set-up, where price and startup target
+  // allow.
   bool worth_asking(const Playback& playback, const Server& server) const {
     return probes_due_ >= 1 && may_ask(playback, server);
   }
@@ -845,7 +902,9 @@
   std::deque<Span> taken_;
   std::deque<Span> further_;
   double probes_due_ = 0;
-  Span usual_life_{30s};
+  FadingSum starts_;
+  FadingSum lives_;
+  FadingSum lives_known_;
 };
 
 Brain::Brain(SiteTerms terms, std::uint64_t seed) : mind_(std::make_unique<Mind>(std::move(terms), seed)) {}
--- a/tests/scenario_runner.cpp
+++ b/tests/scenario_runner.cpp
@@ -111,8 +111,8 @@
 }
 
 const std::map<std::string, Outcome> outcomes = {
-    {"served", Outcome::served}, {"error", Outcome::error}, {"full", Outcome::full},
-    {"late", Outcome::late},     {"refused", Outcome::no_connection}, {"reset", Outcome::reset},
+    {"served", Outcome::served},       {"error", Outcome::error},           {"full", Outcome::full},
+    {"late", Outcome::late},           {"refused", Outcome::no_connection}, {"reset", Outcome::reset},
     {"cancelled", Outcome::cancelled}, {"unsent", Outcome::not_sent}};
 
 class Player {
@@ -120,13 +120,20 @@
   void play(const Words& words) {
     const auto& what = words.front();
     const Named named(words);
-    if (what == "site") terms_ = site(named);
-    else if (what == "plan") terms_.plans.push_back(plan(named));
-    else if (what == "expect") assert(count(rest(words, 1)) > 0);
-    else if (what == "never") assert(count(rest(words, 1)) == 0);
-    else if (what == "count") assert(count(rest(words, 2)) == std::stoi(words.at(1)));
-    else if (what == "pass") pass(Span(std::stoll(words.at(1)) * 1000));
-    else happen(event(words, named));
+    if (what == "site")
+      terms_ = site(named);
+    else if (what == "plan")
+      terms_.plans.push_back(plan(named));
+    else if (what == "expect")
+      assert(count(rest(words, 1)) > 0);
+    else if (what == "never")
+      assert(count(rest(words, 1)) == 0);
+    else if (what == "count")
+      assert(count(rest(words, 2)) == std::stoi(words.at(1)));
+    else if (what == "pass")
+      pass(Span(std::stoll(words.at(1)) * 1000));
+    else
+      happen(event(words, named));
     if (what != "expect") tell();
   }
 
@@ -155,8 +162,10 @@
   void hand(const Event& event) {
     if (!brain_) brain_.emplace(terms_, 1);
     for (const auto& order : brain_->handle(now_, event)) {
-      if (const auto* timer = std::get_if<SetTimer>(&order)) timers_.emplace(now_ + timer->delay, timer->token);
-      else said_.push_back(text_of(order));
+      if (const auto* timer = std::get_if<SetTimer>(&order))
+        timers_.emplace(now_ + timer->delay, timer->token);
+      else
+        said_.push_back(text_of(order));
     }
   }
 
@@ -203,7 +212,8 @@
                        : named.has("rung") ? Note::About::rung
                        : named.has("fill") ? Note::About::link_fill
                                            : Note::About::uplink_fill;
-    const double value = named.number("share") + named.number("rung") + named.number("fill") + named.number("uplink");
+    const double value =
+        named.number("share") + named.number("rung") + named.number("fill") + named.number("uplink");
     return Note{first(), on, about, value};
   }
 
@@ -234,7 +244,8 @@
   std::vector<std::string> said_;
 };
 
-// `<` is a line for the adapter, `>` the start of a line of its reply, in order, `!` part of its complaint.
+// `<` is a line for the adapter, `>` the start of a line of its reply, in order, `!` part of its
+// complaint.
 class WirePlayer {
  public:
   void play(const std::string& line) {
@@ -275,8 +286,10 @@
   for (std::string line; std::getline(file, line);) {
     std::cerr << ++number << ": " << line << '\n';
     if (line.empty() || line.front() == '#') continue;
-    if (line.find_first_of("<>!") == 0) wire.play(line);
-    else player.play(words_of(line));
+    if (line.find_first_of("<>!") == 0)
+      wire.play(line);
+    else
+      player.play(words_of(line));
   }
   assert(number > 0 && wire.settled());
 }
