--- a/tests/scenario_runner.cpp
+++ b/tests/scenario_runner.cpp
@@ -98,7 +98,8 @@
 
 std::string text_of(const Order& order) {
   std::ostringstream out;
-  if (const auto* o = std::get_if<SetUp>(&order)) out << "setup " << o->playback << " on " << o->server;
+  if (const auto* o = std::get_if<SetUp>(&order))
+    out << "setup " << o->playback << " on " << o->server << " within " << o->time_limit.count() / 1000;
   if (const auto* o = std::get_if<SetRung>(&order)) out << "rung " << o->playback << " " << o->rung;
   if (const auto* o = std::get_if<Reject>(&order)) {
     out << "reject " << o->playback << (o->come_back.count() > 0 ? " come back" : "");
