--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -47,20 +47,15 @@
   const auto weights = settings.text("Weights");
   terms.weights_told = !weights.empty() && weights != "none";
   terms.link_kb_per_weight = settings.number("FamilyInfo.KbPerWeight", 0);
-  terms.all_links_kb = settings.number("FamilyInfo.AllLinksKb", 0);
   terms.uplink_kb = settings.number("FamilyInfo.UplinkKb", 0);
   terms.racks = static_cast<int>(settings.integer("FamilyInfo.Cabinets", 0));
   terms.cells = std::max(1, static_cast<int>(settings.integer("FamilyInfo.Places", 1)));
-  terms.shortfall_cost = settings.number("FamilyInfo.ShortfallCost", 0);
   terms.switch_cost = micros(std::llround(settings.number("FamilyInfo.SwitchCostS", 0) * 1e6));
   terms.note_lag = micros(settings.integer("FamilyInfo.SeenAfter", 0));
-  terms.note_every = micros(settings.integer("FamilyInfo.Tell", 0));
   terms.fronts = std::max(1, static_cast<int>(settings.integer("Balancers", 1)));
-  terms.zone = static_cast<int>(settings.integer("Locality", 0));
   terms.cold_time = micros(settings.integer("Rules.Cold", 0));
   terms.cold_from = settings.number("Rules.ColdFrom", 1);
   terms.overload_multiple = settings.number("Rules.OverloadFactor", 1);
-  terms.overload_window = micros(settings.integer("Rules.Fall", 0));
   terms.budget_window = micros(settings.integer("Rules.RatioSpan", 0));
   terms.budget_free = settings.number("Rules.ExtraFree", 0);
   terms.budget_share = settings.number("Rules.ExtraShare", 0);
@@ -70,9 +65,7 @@
   }
   terms.may_probe = settings.flag("Limits.MayProbe");
   terms.list_on_request = settings.text("Discovery") == "ask";
-  terms.move_price = settings.number("Prices.Moves", 0);
   terms.probe_price = settings.number("Prices.Probe", 0);
-  terms.cross_zone_price = settings.number("Prices.CrossZone", 0);
   return terms;
 }
 
@@ -270,7 +263,7 @@
                                          : Standing::gone;
   entry.wire_id = fields.text("a video server");
   entry.entry.kind = static_cast<int>(fields.maybe_integer("a kind").value_or(0));
-  entry.entry.zone = static_cast<int>(fields.maybe_integer("a zone").value_or(0));
+  fields.maybe_integer("a zone");
   entry.entry.cell = static_cast<int>(fields.maybe_integer("a cell").value_or(0));
   entry.started_clock = fields.maybe_integer("a start time");
   entry.entry.weight = fields.maybe_number("a weight").value_or(1);
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -36,7 +36,7 @@
 constexpr double uplink_memory = 10;      // likewise what an uplink was seen to give
 constexpr double herd = 0.5;              // kB that each other front is taken to add for each of this front's
 constexpr double report_weight = 0.7;     // what a new report counts against the older ones
-constexpr double rise_spacing = 30;       // a playback's rises lie so many switch costs apart at least
+constexpr double rise_spacing = 10;       // a playback's rises lie so many switch costs apart at least
 constexpr double rise_payoff = 8;         // a rise earns so many times its price
 constexpr double pace_kept = 0.8;         // part of this front's even part of a cold server's pace
 constexpr double probe_spending = 0.01;   // part of the revenue that probes may cost
@@ -129,7 +129,6 @@
   bool listed = false;
   Standing standing = Standing::gone;
   int kind = 0;
-  int zone = 0;
   int cell = 0;
   double weight = 1;
   std::optional<Span> started;
@@ -246,9 +245,9 @@
     const auto found = playbacks_.find(what.playback);
     if (found == playbacks_.end()) return;
     auto& playback = found->second;
+    detach(playback);
     judge_outcome(servers_[what.server], playback, what.outcome);
     if (what.outcome == Outcome::served && !playback.request.length) learn_life(now_ - playback.since);
-    detach(playback);
     if (what.over || playback.withdrawn) return forget(what.playback);
     place(playback);
   }
@@ -299,7 +298,6 @@
     auto& server = servers_[entry.server];
     const bool restarted = server.listed && entry.started && entry.started != server.started;
     server.kind = entry.kind;
-    server.zone = entry.zone;
     server.cell = entry.cell;
     server.weight = entry.weight;
     server.standing = entry.standing;
@@ -440,11 +438,18 @@
     drop_rungs(server, share);
   }
 
-  // Drops as many playbacks a rung as the shortfall asks of this front, least revenue per kB first.
+  // Steps playbacks down until this front's part of the shortfall is covered, least lost per kB first. The
+  // notes that follow tell of the time before, so they drop nothing more.
   void drop_rungs(Server& server, double share) {
     if (server.last_drop && now_ - *server.last_drop < terms_.note_lag + silence()) return;
     server.last_drop = now_;
-    free_room(server, server.own_kb * (1 - share), std::numeric_limits<double>::max());
+    double needed = server.own_kb * (1 - share);
+    while (needed > 0) {
+      const auto step = cheapest_step(server, needed);
+      if (!step.playback) return;
+      needed -= step.freed;
+      change_rung(*step.playback, step.rung);
+    }
   }
 
   // ---- rungs ----
@@ -513,18 +518,6 @@
     return best;
   }
 
-  // Steps this front's playbacks there down until `needed` is free or that would lose more than
-  // `worth`.
-  void free_room(Server& server, double needed, double worth) {
-    while (needed > 0) {
-      const auto step = cheapest_step(server, needed);
-      if (!step.playback || step.loss > worth) return;
-      needed -= step.freed;
-      worth -= step.loss;
-      change_rung(*step.playback, step.rung);
-    }
-  }
-
   // The revenue per kB at which this front's playbacks would fill its part of all links: steps worth
   // less than that would leave no room for the others.
   double fair_value() {
@@ -728,7 +721,6 @@
       if (worth_asking(playback, servers_[*id])) return ask(playback, *id);
       return send(playback, *id, rung);
     }
-    if (const auto id = make_room(playback)) return send(playback, *id, floor_of(request));
     if (const auto id = stalest_holder(request); id && may_ask(playback, servers_[*id]))
       return ask(playback, *id);
     give_up(playback);
@@ -761,28 +753,6 @@
     return best;
   }
 
-  // No holder has room for the lowest rung: one own playback steps down where it loses less than this
-  // earns.
-  std::optional<ServerId> make_room(const Playback& playback) {
-    const auto& request = playback.request;
-    const int floor = floor_of(request);
-    const double earned =
-        terms_.plans[request.plan].revenue * terms_.rung_revenue.at(floor) * seconds(left_of(playback));
-    std::optional<ServerId> best;
-    StepDown best_step;
-    for (auto& [id, server] : servers_) {
-      if (!open_to(server, request)) continue;
-      const double needed = rate(request, floor) - room(server, filled_by_floor);
-      const auto step = cheapest_step(server, needed);
-      if (!step.playback || step.freed < needed || step.loss > earned) continue;
-      if (best && step.loss >= best_step.loss) continue;
-      best = id;
-      best_step = step;
-    }
-    if (best) change_rung(*best_step.playback, best_step.rung);
-    return best;
-  }
-
   void send(Playback& playback, ServerId id, int rung) {
     const auto& request = playback.request;
     auto& server = servers_[id];
@@ -818,14 +788,13 @@
 
   // ---- health, from what this front's own tries met ----
   void judge_outcome(Server& server, Playback& playback, Outcome outcome) {
-    const bool was_playing = playback.state == Playback::State::playing;
     const bool proof =
         outcome == Outcome::full || outcome == Outcome::no_connection || outcome == Outcome::not_sent;
     if (!proof) playback.may_have_run = true;
-    if (outcome == Outcome::reset || outcome == Outcome::no_connection ||
-        (outcome == Outcome::late && !was_playing))
+    if (outcome == Outcome::reset || outcome == Outcome::no_connection || outcome == Outcome::late)
       strike(server);
-    if (outcome == Outcome::full) server.others_kb = std::max(server.others_kb.value_or(0), link_of(server));
+    if (outcome == Outcome::full)
+      server.others_kb = std::max(server.others_kb.value_or(0), link_of(server) - server.own_kb);
   }
 
   // Silence, a reset or a refused connection: rest, then one single try at a time until one starts.
--- a/src/brain.h
+++ b/src/brain.h
@@ -35,20 +35,15 @@
   std::vector<double> kind_streams;
   bool weights_told = false;
   double link_kb_per_weight = 0;
-  double all_links_kb = 0;
   double uplink_kb = 0;
   int racks = 0;
   int cells = 1;
-  double shortfall_cost = 0;
   Span switch_cost{0};
   Span note_lag{0};
-  Span note_every{0};
   int fronts = 1;
-  int zone = 0;
   Span cold_time{0};
   double cold_from = 1;
   double overload_multiple = 1;
-  Span overload_window{0};
   Span budget_window{0};
   double budget_free = 0;
   double budget_share = 0;
@@ -56,9 +51,7 @@
   Span longest_come_back{0};
   bool may_probe = false;
   bool list_on_request = false;
-  double move_price = 0;
   double probe_price = 0;
-  double cross_zone_price = 0;
 };
 
 // What happened.
@@ -67,7 +60,6 @@
   ServerId server = 0;
   Standing standing = Standing::ready;
   int kind = 0;
-  int zone = 0;
   int cell = 0;
   std::optional<Span> started;
   double weight = 1;
--- a/tests/scenario_runner.cpp
+++ b/tests/scenario_runner.cpp
@@ -72,7 +72,6 @@
   terms.cold_time = named.ms("cold");
   terms.cold_from = named.number("cold_from", 1);
   terms.overload_multiple = named.number("multiple", 1);
-  terms.overload_window = named.ms("window");
   terms.budget_window = named.ms("budget_window");
   terms.budget_free = named.number("free");
   terms.budget_share = named.number("share");
@@ -80,7 +79,6 @@
   terms.longest_come_back = named.ms("come_back");
   terms.may_probe = named.has("probe_price");
   terms.probe_price = named.number("probe_price");
-  terms.move_price = named.number("move_price");
   terms.list_on_request = named.has("ask");
   return terms;
 }
