--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -609,10 +609,13 @@
     return rung;
   }
 
+  // A rise pays for its switch, and the more often the fuller the link: it is the sooner taken back.
   bool rise_pays(const Playback& playback, int rung) {
     const auto& revenue = terms_.rung_revenue;
+    auto& server = servers_[playback.server];
     const double gained = revenue.at(rung) - revenue.at(playback.rung);
-    return gained * seconds(left_of(playback)) > rise_payoff * seconds(terms_.switch_cost);
+    const double fill = std::clamp(1 - room(server, 1) / link_of(server), 0.0, 1.0);
+    return gained * seconds(left_of(playback)) > rise_payoff * fill * seconds(terms_.switch_cost);
   }
 
   bool may_rise(const Playback& playback) {
