--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,6 +35,7 @@
 constexpr double share_memory = 6;        // the share's mean reaches back so many note lags
 constexpr double uplink_memory = 10;      // likewise what an uplink was seen to give
 constexpr double herd = 0.5;              // kB that each other front is taken to add for each of this front's
+constexpr int report_memory = 10;          // a report is trusted so many note spacings
 constexpr double report_weight = 0.7;     // what a new report counts against the older ones
 constexpr double rise_spacing = 10;       // a playback's rises lie so many switch costs apart at least
 constexpr double rise_payoff = 8;         // a rise earns so many times its price
@@ -111,6 +112,20 @@
   Span read_at_{0};
 };
 
+// What the others ask of a link or an uplink, by reports; it counts less the older it is.
+struct OthersUse {
+  std::optional<double> kb;
+  Span heard_at{0};
+
+  void hear(double heard, Span now) {
+    kb = kb ? *kb + report_weight * (heard - *kb) : heard;
+    heard_at = now;
+  }
+  double trust(Span now, Span memory) const {
+    return kb ? std::exp(-seconds(now - heard_at) / seconds(memory)) : 0;
+  }
+};
+
 // A CUBIC window: cut on a loss, regrown by the cubic.
 struct Window {
   double peak = 0;
@@ -143,8 +158,7 @@
   double own_kb = 0;  // rungs of this front's playbacks there, set-ups included
   int held = 0;
   int setting_up = 0;
-  std::optional<double> others_kb;  // what reports leave for all the rest, ladder errors included
-  std::optional<Span> reported_at;
+  OthersUse others;     // ladder errors included
   Span asked_at{0};     // before the first report
   double added_kb = 0;  // by starts and rises of this front since the last report
 
@@ -173,7 +187,7 @@
 };
 
 struct Rack {
-  std::optional<double> others_kb;  // from reports of the uplink, where there are any
+  OthersUse others;                 // from reports of the uplink, where there are any
   std::optional<double> gave_kb;    // what an uplink without reports was last seen to give when short
   Span gave_at{0};
 };
@@ -305,7 +319,7 @@
     if (restarted) {
       server.strikes = 0;
       server.rests_until = now_;
-      server.others_kb.reset();
+      server.others.kb.reset();
     }
     if (server.started)
       server.cold_since = std::max(server.cold_since.value_or(*server.started), *server.started);
@@ -338,18 +352,21 @@
   void take_report(ServerId id, const LoadReport& load) {
     auto& server = servers_[id];
     if (load.link_fill) {
-      learn(server.others_kb, *load.link_fill * link_of(server) - server.own_kb);
-      server.reported_at = now_;
+      server.others.hear(*load.link_fill * link_of(server) - server.own_kb, now_);
       server.added_kb = 0;
     }
     if (load.uplink_fill) {
       auto& rack = rack_of(server);
-      learn(rack.others_kb, *load.uplink_fill * terms_.uplink_kb - own_in(rack));
+      rack.others.hear(*load.uplink_fill * terms_.uplink_kb - own_in(rack), now_);
     }
   }
 
-  static void learn(std::optional<double>& known, double heard) {
-    known = known ? *known + report_weight * (heard - *known) : heard;
+  // Guards against acting on old reports as if they were fresh: as a report grows old, the others are
+  // left their even part instead. Covers late reports, and servers that report only while this front
+  // has playbacks there; does harm where the others' use is steady and far from even.
+  double others_of(const OthersUse& others, double whole) const {
+    const double trust = others.trust(now_, report_memory * silence());
+    return trust * others.kb.value_or(0) + (1 - trust) * whole * (terms_.fronts - 1) / terms_.fronts;
   }
 
   double own_in(const Rack& rack) {
@@ -370,17 +387,14 @@
     // Guards against all fronts filling the same room between reports; floors are small enough to go
     // in.
     const double unseen = filled < filled_by_floor ? herd * (terms_.fronts - 1) * server.added_kb : 0;
-    const double in_link =
-        server.others_kb ? rest - *server.others_kb - unseen : link / terms_.fronts - server.own_kb;
-    return std::min(in_link, room_in(rack_of(server), filled));
+    return std::min(rest - others_of(server.others, link) - unseen, room_in(rack_of(server), filled));
   }
 
   double room_in(const Rack& rack, double filled) {
     if (terms_.uplink_kb <= 0) return std::numeric_limits<double>::max();
     const double uplink = uplink_of(rack) * filled;
-    if (rack.others_kb) return uplink - own_in(rack) - *rack.others_kb;
     if (rack.gave_kb) return uplink - asked_of(rack);
-    return uplink / terms_.fronts - own_in(rack);
+    return uplink - own_in(rack) - others_of(rack.others, uplink);
   }
 
   // What servers' reports tell of all that is asked of a rack.
@@ -388,7 +402,7 @@
     double asked = 0;
     for (auto& [id, server] : servers_) {
       if (&rack_of(server) == &rack && server.standing == Standing::ready)
-        asked += server.own_kb + server.others_kb.value_or(0);
+        asked += server.own_kb + server.others.kb.value_or(0);
     }
     return asked;
   }
@@ -405,11 +419,11 @@
   // does harm where several links fall short for reasons of their own while their reports are old.
   void judge_uplink(Server& server, double share) {
     auto& rack = rack_of(server);
-    if (terms_.uplink_kb <= 0 || rack.others_kb) return;
+    if (terms_.uplink_kb <= 0 || rack.others.kb) return;
     int held = 0, cut = 0;
     for (auto& [id, other] : servers_) {
       if (&rack_of(other) != &rack || other.held == 0) continue;
-      const bool fits = other.own_kb + other.others_kb.value_or(0) < full_share * link_of(other);
+      const bool fits = other.own_kb + other.others.kb.value_or(0) < full_share * link_of(other);
       ++held;
       if (other.short_since && now_ - other.last_short <= 2 * silence() && fits) ++cut;
     }
@@ -525,9 +539,8 @@
     for (auto& [id, server] : servers_) {
       if (server.standing != Standing::ready) continue;
       const auto rack = rack_index(server);
-      const double rest = link_of(server) - server.own_kb;
       links[rack] += link_of(server);
-      others[rack] += server.others_kb.value_or(rest * (terms_.fronts - 1) / terms_.fronts);
+      others[rack] += others_of(server.others, link_of(server));
     }
     double all = 0, free = 0;
     for (std::size_t rack = 0; rack < racks_.size(); ++rack) {
@@ -797,7 +810,7 @@
     if (outcome == Outcome::reset || outcome == Outcome::no_connection || outcome == Outcome::late)
       strike(server);
     if (outcome == Outcome::full)
-      server.others_kb = std::max(server.others_kb.value_or(0), link_of(server) - server.own_kb);
+      server.others.hear(link_of(server) - server.own_kb, now_);
   }
 
   // Silence, a reset or a refused connection: rest, then one single try at a time until one starts.
@@ -831,14 +844,14 @@
   bool may_ask(const Playback& playback, const Server& server) const {
     if (!terms_.may_probe || probes_due_ < -most_probes_due || playback.probes >= most_probes) return false;
     if (playback.target_at - now_ < 2 * tick) return false;
-    return !server.reported_at || now_ - *server.reported_at > fresh_report;
+    return !server.others.kb || now_ - server.others.heard_at > fresh_report;
   }
 
   // Playbacks handed over should not wait for a set-up to bring the first report of their server.
   void ask_where_playbacks_play() {
     if (!terms_.may_probe) return;
     for (auto& [id, server] : servers_) {
-      if (server.held == 0 || server.others_kb || now_ - server.asked_at < terms_.note_lag) continue;
+      if (server.held == 0 || server.others.kb || now_ - server.asked_at < terms_.note_lag) continue;
       server.asked_at = now_;
       orders_.push_back(Probe{id});
     }
@@ -849,7 +862,7 @@
     std::optional<ServerId> stalest;
     for (auto& [id, server] : servers_) {
       if (!open_to(server, request)) continue;
-      if (!stalest || server.reported_at < servers_[*stalest].reported_at) stalest = id;
+      if (!stalest || server.others.heard_at < servers_[*stalest].others.heard_at) stalest = id;
     }
     return stalest;
   }
