--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,7 +35,7 @@
 constexpr double share_memory = 6;        // the share's mean reaches back so many note lags
 constexpr double uplink_memory = 10;      // likewise what an uplink was seen to give
 constexpr double herd = 0.5;              // kB that each other front is taken to add for each of this front's
-constexpr int report_memory = 10;          // a report is trusted so many note spacings
+constexpr int report_memory = 10;         // a report is trusted so many note spacings
 constexpr double report_weight = 0.7;     // what a new report counts against the older ones
 constexpr double rise_spacing = 10;       // a playback's rises lie so many switch costs apart at least
 constexpr double rise_payoff = 8;         // a rise earns so many times its price
@@ -187,8 +187,8 @@
 };
 
 struct Rack {
-  OthersUse others;                 // from reports of the uplink, where there are any
-  std::optional<double> gave_kb;    // what an uplink without reports was last seen to give when short
+  OthersUse others;               // from reports of the uplink, where there are any
+  std::optional<double> gave_kb;  // what an uplink without reports was last seen to give when short
   Span gave_at{0};
 };
 
@@ -393,7 +393,7 @@
   double room_in(const Rack& rack, double filled) {
     if (terms_.uplink_kb <= 0) return std::numeric_limits<double>::max();
     const double uplink = uplink_of(rack) * filled;
-    if (rack.gave_kb) return uplink - asked_of(rack);
+    if (!rack.others.kb) return uplink - asked_of(rack);
     return uplink - own_in(rack) - others_of(rack.others, uplink);
   }
 
@@ -402,7 +402,7 @@
     double asked = 0;
     for (auto& [id, server] : servers_) {
       if (&rack_of(server) == &rack && server.standing == Standing::ready)
-        asked += server.own_kb + server.others.kb.value_or(0);
+        asked += server.own_kb + others_of(server.others, link_of(server));
     }
     return asked;
   }
@@ -809,8 +809,7 @@
     if (!proof) playback.may_have_run = true;
     if (outcome == Outcome::reset || outcome == Outcome::no_connection || outcome == Outcome::late)
       strike(server);
-    if (outcome == Outcome::full)
-      server.others.hear(link_of(server) - server.own_kb, now_);
+    if (outcome == Outcome::full) server.others.hear(link_of(server) - server.own_kb, now_);
   }
 
   // Silence, a reset or a refused connection: rest, then one single try at a time until one starts.
