--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -229,6 +229,7 @@
   }
 
   void on(const CarriedOver& carried) {
+    handed_over_ = true;
     auto& playback = admit(carried.request);
     playback.state = Playback::State::playing;
     playback.tries = 1;
@@ -551,9 +552,10 @@
     }
     double left = std::max(all / terms_.fronts, free);
     std::map<double, double, std::greater<>> asked;
-    // A front that has just started holds few playbacks yet: it counts those that its starts foretell.
-    const double held = static_cast<double>(std::max<std::size_t>(1, playbacks_.size()));
-    left /= std::clamp(foretold() / held, 1.0, most_foretold);
+    if (just_started()) {
+      const double held = static_cast<double>(std::max<std::size_t>(1, playbacks_.size()));
+      left /= std::clamp(foretold() / held, 1.0, most_foretold);
+    }
     for (const auto& [id, playback] : playbacks_) {
       const auto& request = playback.request;
       left -= rate(request, floor_of(request));
@@ -574,10 +576,11 @@
     return value > fair ? filled_by_start : value == fair ? filled_by_margin : 0;
   }
 
-  // Playbacks whose next step earns most rise first, each to the highest rung that room fits: a switch
-  // costs the same over one rung or several. All fronts hear of the same room at once, so each takes
-  // its even part. How many playbacks this front will hold if starts go on as they have and last as
-  // long as usual.
+  // A front that has just started holds few playbacks yet: it counts those that its starts foretell.
+  // Later, starts that come in a burst are mostly viewers who come back.
+  bool just_started() const { return !handed_over_ && now_ < first_life; }
+
+  // How many playbacks this front will hold if starts go on as they have and last as long as usual.
   double foretold() {
     const double watched = -std::expm1(-seconds(now_ + tick) / seconds(first_life));
     return starts_.read(now_, first_life) / watched * seconds(usual_life()) / seconds(first_life);
@@ -594,6 +597,9 @@
     lives_known_.add(now_, 1, first_life);
   }
 
+  // Playbacks whose next step earns most rise first, each to the highest rung that room fits: a switch
+  // costs the same over one rung or several. All fronts hear of the same room at once, so each takes
+  // its even part.
   void rise() {
     const double fair = fair_value();
     std::vector<std::pair<double, Playback*>> wishes;
@@ -879,6 +885,7 @@
   Span now_{0};
   std::vector<Order> orders_;
   bool ticking_ = false;
+  bool handed_over_ = false;  // playbacks were, so this front did not start empty
   bool ask_for_list_ = false;
   std::map<ServerId, Server> servers_;
   std::vector<Rack> racks_;
