Share the room for a rise among two where reports are probed, among all where notes tell

Cause: with five fronts a rise needed five times its room though a probe's answer reaches one front.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -598,8 +598,7 @@
   }
 
   // Playbacks whose next step earns most rise first, each to the highest rung that room fits: a switch
-  // costs the same over one rung or several. All fronts hear of the same room at once, so each takes
-  // its even part.
+  // costs the same over one rung or several. Other fronts hear of the same room, so each takes a part.
   void rise() {
     const double fair = fair_value();
     std::vector<std::pair<double, Playback*>> wishes;
@@ -617,13 +616,16 @@
     }
   }
 
+  // Fronts that may rise into the same room: notes reach all at once, the answer to a probe one alone.
+  int rivals() const { return terms_.may_probe ? std::min(terms_.fronts, 2) : terms_.fronts; }
+
   int rung_to_rise_to(const Playback& playback, double fair) {
     const auto& request = playback.request;
     auto& server = servers_[playback.server];
     int rung = top_of(request);
     for (; rung > playback.rung; --rung) {
       const double more = rate(request, rung) - rate(request, playback.rung);
-      if (more * terms_.fronts <= room(server, filled_for(request, rung, fair))) break;
+      if (more * rivals() <= room(server, filled_for(request, rung, fair))) break;
     }
     return rung;
   }
