Hold nobody for a probe who leaves before the startup target

Cause: read in review; the abandon time may lie before the startup target, and a playback that waited for a probe could then be answered late.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -224,7 +224,8 @@
     taken_.push_back(now_);
     probes_due_ = std::min(probes_due_ + probes_per_playback(), most_probes_due);
     auto& playback = admit(request);
-    playback.target_at = now_ + terms_.plans.at(request.plan).startup_target;
+    // Guards against holding a viewer who leaves before the startup target.
+    playback.target_at = std::min(now_ + terms_.plans.at(request.plan).startup_target, request.abandon_at);
     place(playback);
   }
 
@@ -730,7 +731,7 @@
   bool may_try(const Playback& playback) {
     const auto& plan = terms_.plans[playback.request.plan];
     if (plan.pay_at_setup && playback.may_have_run) return false;
-    if (now_ >= std::min(playback.target_at, playback.request.abandon_at)) return false;
+    if (now_ >= playback.target_at) return false;
     return playback.tries < terms_.most_tries && within_budget(playback) && has_seat(playback.request);
   }
 
