--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -149,6 +149,7 @@
   std::optional<Span> started;
 
   Window window;
+  bool window_cut = false;
   ShareMeter shares;
   double mean_at_loss = 1;
   std::optional<Span> short_since;  // the train of shortfall notes that runs
@@ -357,6 +358,11 @@
       server.others.hear(*load.link_fill * link_of(server) - server.own_kb, now_);
       server.added_kb = 0;
     }
+    // The first window leaves out the streams in use, this front's own aside.
+    if (load.streams && !server.window_cut) {
+      const double free = streams_of(server) - *load.streams;
+      server.window.open_at(std::max(1.0, server.held + free), now_);
+    }
     if (load.uplink_fill) {
       auto& rack = rack_of(server);
       rack.others.hear(*load.uplink_fill * terms_.uplink_kb - own_in(rack), now_);
@@ -448,6 +454,7 @@
     // A late train of notes about one event is one loss, unless the mean falls on.
     if (!train || mean < mean_drop_is_loss * server.mean_at_loss) {
       server.window.cut(server.held, now_);
+      server.window_cut = true;
       server.mean_at_loss = mean;
     }
     judge_uplink(server, share);
--- a/tests/scenario_runner.cpp
+++ b/tests/scenario_runner.cpp
@@ -197,7 +197,7 @@
     const auto& what = words.front();
     const auto first = [&] { return static_cast<std::uint32_t>(std::stoul(words.at(1))); };
     const auto on = static_cast<ServerId>(named.whole("on"));
-    const LoadReport load{named.maybe("fill"), named.maybe("uplink"), {}};
+    const LoadReport load{named.maybe("fill"), named.maybe("uplink"), named.maybe("streams")};
     if (what == "servers" || what == "changes" || what == "cached") return list(words);
     if (what == "list_failed") return ListFailed{};
     if (what == "request") return request(words, named);
