--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -179,7 +179,6 @@
             return final_answer("DECLINE", o.playback, " " + std::to_string(o.come_back.count()));
           },
           [&](const Abort& o) { return final_answer("RESPOND_ERROR", o.playback, ""); },
-          [&](const Move& o) { return line("RELOCATE", id(o.playback)); },
           [&](const Probe& o) { return line("ASK_LOAD", server_names_.at(o.server)); },
           [&](const SetTimer& o) {
             return line("SET_TIMER", std::to_string(o.delay.count()) + " " + std::to_string(o.token));
--- a/src/brain.h
+++ b/src/brain.h
@@ -140,9 +140,6 @@
 struct Abort {
   PlaybackId playback;
 };
-struct Move {
-  PlaybackId playback;
-};
 struct Probe {
   ServerId server;
 };
@@ -151,7 +148,7 @@
   std::uint32_t token;
 };
 struct FollowList {};
-using Order = std::variant<SetUp, SetRung, Reject, Abort, Move, Probe, SetTimer, FollowList>;
+using Order = std::variant<SetUp, SetRung, Reject, Abort, Probe, SetTimer, FollowList>;
 
 // The decisions of one session manager.
 class Brain {
--- a/tests/scenario_runner.cpp
+++ b/tests/scenario_runner.cpp
@@ -103,7 +103,6 @@
     out << "reject " << o->playback << (o->come_back.count() > 0 ? " come back" : "");
   }
   if (const auto* o = std::get_if<Abort>(&order)) out << "abort " << o->playback;
-  if (const auto* o = std::get_if<Move>(&order)) out << "move " << o->playback;
   if (const auto* o = std::get_if<Probe>(&order)) out << "probe " << o->server;
   if (std::get_if<FollowList>(&order)) out << "follow";
   return out.str();
