Look servers up by cell and rack so that a request costs about its holders

Cause: every link's figure walked all servers, for every rung of every request. Servers are sorted by cell and rack when the list changes.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -53,6 +53,10 @@
 constexpr Span tick = 250ms;
 constexpr std::uint32_t tick_token = 1;
 
+std::size_t wrapped(int place, std::size_t count) {
+  const int most = static_cast<int>(count);
+  return static_cast<std::size_t>((place % most + most) % most);
+}
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
 Span span_of(double seconds) { return Span(static_cast<std::int64_t>(seconds * 1e6)); }
 
@@ -188,6 +192,7 @@
 };
 
 struct Rack {
+  std::vector<ServerId> servers;
   OthersUse others;               // from reports of the uplink, where there are any
   std::optional<double> gave_kb;  // what an uplink without reports was last seen to give when short
   Span gave_at{0};
@@ -214,9 +219,10 @@
   // ---- what happened ----
   void on(const ServerList& list) {
     if (list.reach != ServerList::Reach::changes) {
-      for (auto& [id, server] : servers_) server.standing = Standing::gone;
+      for (auto& server : servers_) server.standing = Standing::gone;
     }
     for (const auto& entry : list.entries) take_entry(entry);
+    arrange();
   }
 
   void on(const ListFailed&) { ask_for_list_ = terms_.list_on_request; }
@@ -249,7 +255,7 @@
   void on(const Started& what) {
     const auto found = playbacks_.find(what.playback);
     if (found == playbacks_.end() || found->second.state != Playback::State::setting_up) return;
-    auto& server = servers_[what.server];
+    auto& server = server_at(what.server);
     found->second.state = Playback::State::playing;
     found->second.chosen_at = now_;
     starts_.add(now_, 1, first_life);
@@ -263,7 +269,7 @@
     if (found == playbacks_.end()) return;
     auto& playback = found->second;
     detach(playback);
-    judge_outcome(servers_[what.server], playback, what.outcome);
+    judge_outcome(server_at(what.server), playback, what.outcome);
     if (what.outcome == Outcome::served && !playback.request.length) learn_life(now_ - playback.since);
     if (what.over || playback.withdrawn) return forget(what.playback);
     place(playback);
@@ -271,7 +277,7 @@
 
   void on(const ProbeEnded& what) {
     take_report(what.server, what.load);
-    if (!what.answered) strike(servers_[what.server]);
+    if (!what.answered) strike(server_at(what.server));
     place_waiting([&](const Playback& playback) { return playback.asked == what.server; });
   }
 
@@ -286,7 +292,7 @@
       case Note::About::uplink_fill:
         return take_report(note.server, {{}, note.value, {}});
       case Note::About::share:
-        return take_share(servers_[note.server], note.value);
+        return take_share(server_at(note.server), note.value);
     }
   }
 
@@ -311,8 +317,30 @@
     orders_.push_back(SetTimer{tick * (1 + static_cast<int>(chance_() % 100)) / 100, tick_token});
   }
 
+  Server& server_at(ServerId id) {
+    if (id >= servers_.size()) servers_.resize(id + 1);
+    return servers_[id];
+  }
+
+  // Sorts the listed servers by cell and rack, so that a request costs about its holders.
+  void arrange() {
+    cells_.assign(static_cast<std::size_t>(terms_.cells), {});
+    for (auto& rack : racks_) rack.servers.clear();
+    double streams = 0;
+    int count = 0;
+    for (ServerId id = 0; id < servers_.size(); ++id) {
+      const auto& server = servers_[id];
+      if (!server.listed) continue;
+      cells_[wrapped(server.cell, cells_.size())].push_back(id);
+      rack_of(server).servers.push_back(id);
+      streams += streams_of(server);
+      ++count;
+    }
+    mean_streams_ = count == 0 ? 0 : streams / count;
+  }
+
   void take_entry(const ServerEntry& entry) {
-    auto& server = servers_[entry.server];
+    auto& server = server_at(entry.server);
     const bool restarted = server.listed && entry.started && entry.started != server.started;
     server.kind = entry.kind;
     server.cell = entry.cell;
@@ -338,22 +366,17 @@
   // Where weights say nothing, a machine's kind does: links go with the streams it runs.
   double link_of(const Server& server) const {
     if (terms_.weights_told) return terms_.link_kb_per_weight * server.weight;
-    double mean = 0;
-    int count = 0;
-    for (const auto& [id, other] : servers_) {
-      if (other.listed) mean += streams_of(other), ++count;
-    }
-    return count == 0 ? 0 : terms_.link_kb_per_weight * streams_of(server) * count / mean;
+    return mean_streams_ > 0 ? terms_.link_kb_per_weight * streams_of(server) / mean_streams_ : 0;
   }
 
   std::size_t rack_index(const Server& server) const {
-    return static_cast<std::size_t>(server.cell) % racks_.size();
+    return wrapped(server.cell, racks_.size());
   }
   Rack& rack_of(const Server& server) { return racks_[rack_index(server)]; }
 
   // A report names the whole fill; what this front doesn't ask itself is the others'.
   void take_report(ServerId id, const LoadReport& load) {
-    auto& server = servers_[id];
+    auto& server = server_at(id);
     if (load.link_fill) {
       server.others.hear(*load.link_fill * link_of(server) - server.own_kb, now_);
       server.added_kb = 0;
@@ -379,9 +402,7 @@
 
   double own_in(const Rack& rack) {
     double own = 0;
-    for (auto& [id, server] : servers_) {
-      if (&rack_of(server) == &rack) own += server.own_kb;
-    }
+    for (const auto id : rack.servers) own += servers_[id].own_kb;
     return own;
   }
 
@@ -408,8 +429,9 @@
   // What servers' reports tell of all that is asked of a rack.
   double asked_of(const Rack& rack) {
     double asked = 0;
-    for (auto& [id, server] : servers_) {
-      if (&rack_of(server) == &rack && server.standing == Standing::ready)
+    for (const auto id : rack.servers) {
+      const auto& server = servers_[id];
+      if (server.standing == Standing::ready)
         asked += server.own_kb + others_of(server.others, link_of(server));
     }
     return asked;
@@ -429,8 +451,9 @@
     auto& rack = rack_of(server);
     if (terms_.uplink_kb <= 0 || rack.others.kb) return;
     int held = 0, cut = 0;
-    for (auto& [id, other] : servers_) {
-      if (&rack_of(other) != &rack || other.held == 0) continue;
+    for (const auto id : rack.servers) {
+      const auto& other = servers_[id];
+      if (other.held == 0) continue;
       const bool fits = other.own_kb + other.others.kb.value_or(0) < full_share * link_of(other);
       ++held;
       if (other.short_since && now_ - other.last_short <= 2 * silence() && fits) ++cut;
@@ -545,7 +568,7 @@
   // less than that would leave no room for the others.
   double fair_value() {
     std::vector<double> links(racks_.size()), others(racks_.size());
-    for (auto& [id, server] : servers_) {
+    for (const auto& server : servers_) {
       if (server.standing != Standing::ready) continue;
       const auto rack = rack_index(server);
       links[rack] += link_of(server);
@@ -608,12 +631,13 @@
   // Playbacks whose next step earns most rise first, each to the highest rung that room fits: a switch
   // costs the same over one rung or several. Other fronts hear of the same room, so each takes a part.
   void rise() {
-    const double fair = fair_value();
     std::vector<std::pair<double, Playback*>> wishes;
     for (auto& [id, playback] : playbacks_) {
       if (may_rise(playback))
         wishes.emplace_back(-step_value(playback.request, playback.rung + 1), &playback);
     }
+    if (wishes.empty()) return;
+    const double fair = fair_value();
     std::stable_sort(wishes.begin(), wishes.end(), [](auto& a, auto& b) { return a.first < b.first; });
     for (const auto& [value, playback] : wishes) {
       const int rung = rung_to_rise_to(*playback, fair);
@@ -667,7 +691,7 @@
   }
 
   void attach(Playback& playback, ServerId id) {
-    auto& server = servers_[id];
+    auto& server = server_at(id);
     playback.server = id;
     server.own_kb += rate(playback.request, playback.rung);
     ++server.held;
@@ -687,13 +711,20 @@
     playbacks_.erase(id);
   }
 
-  bool holds(const Server& server, const Request& request) const {
-    const int from_first = (server.cell - request.first_cell) % terms_.cells;
-    return (from_first + terms_.cells) % terms_.cells < request.holders;
+  // The servers that hold the request's title and may be given it now, by id.
+  std::vector<ServerId> open_holders(const Request& request) {
+    std::vector<ServerId> open;
+    for (int i = 0; i < std::min(request.holders, terms_.cells); ++i) {
+      for (const auto id : cells_[wrapped(request.first_cell + i, cells_.size())]) {
+        if (is_open(servers_[id])) open.push_back(id);
+      }
+    }
+    std::sort(open.begin(), open.end());
+    return open;
   }
 
-  bool open_to(Server& server, const Request& request) {
-    if (!server.listed || server.standing != Standing::ready || !holds(server, request)) return false;
+  bool is_open(const Server& server) const {
+    if (server.standing != Standing::ready) return false;
     if (now_ < server.rests_until || (server.strikes > 0 && server.setting_up > 0)) return false;
     return server.held + 1 <= server.window.size(now_) && within_pace(server);
   }
@@ -747,13 +778,14 @@
     if (!may_try(playback)) return give_up(playback);
     const auto& request = playback.request;
     const double fair = fair_value();
+    const auto open = open_holders(request);
     for (int rung = top_of(request); rung >= floor_of(request); --rung) {
-      const auto id = choose(request, rung, filled_for(request, rung, fair));
+      const auto id = choose(open, rate(request, rung), filled_for(request, rung, fair));
       if (!id) continue;
       if (worth_asking(playback, servers_[*id])) return ask(playback, *id);
       return send(playback, *id, rung);
     }
-    if (const auto id = stalest_holder(request); id && may_ask(playback, servers_[*id]))
+    if (const auto id = stalest_of(open); id && may_ask(playback, servers_[*id]))
       return ask(playback, *id);
     give_up(playback);
   }
@@ -768,12 +800,12 @@
   }
 
   // The page's choice: window room and room for the rung, least spread, ties to most room.
-  std::optional<ServerId> choose(const Request& request, int rung, double filled) {
+  std::optional<ServerId> choose(const std::vector<ServerId>& open, double kb, double filled) {
     std::optional<ServerId> best;
     double best_spread = 0, best_room = 0;
-    for (auto& [id, server] : servers_) {
-      if (!open_to(server, request)) continue;
-      const double left = room(server, filled) - rate(request, rung);
+    for (const auto id : open) {
+      auto& server = servers_[id];
+      const double left = room(server, filled) - kb;
       if (left < 0) continue;
       const double spread = server.shares.spread(now_, silence());
       const bool tie = best && std::abs(spread - best_spread) <= spread_tie;
@@ -865,7 +897,8 @@
   // Playbacks handed over should not wait for a set-up to bring the first report of their server.
   void ask_where_playbacks_play() {
     if (!terms_.may_probe) return;
-    for (auto& [id, server] : servers_) {
+    for (ServerId id = 0; id < servers_.size(); ++id) {
+      auto& server = servers_[id];
       if (server.held == 0 || server.others.kb || now_ - server.asked_at < terms_.note_lag) continue;
       server.asked_at = now_;
       orders_.push_back(Probe{id});
@@ -873,11 +906,10 @@
   }
 
   // Guards against turning viewers away for room that has since come free.
-  std::optional<ServerId> stalest_holder(const Request& request) {
+  std::optional<ServerId> stalest_of(const std::vector<ServerId>& open) const {
     std::optional<ServerId> stalest;
-    for (auto& [id, server] : servers_) {
-      if (!open_to(server, request)) continue;
-      if (!stalest || server.others.heard_at < servers_[*stalest].others.heard_at) stalest = id;
+    for (const auto id : open) {
+      if (!stalest || servers_[id].others.heard_at < servers_[*stalest].others.heard_at) stalest = id;
     }
     return stalest;
   }
@@ -897,8 +929,10 @@
   bool ticking_ = false;
   bool handed_over_ = false;  // playbacks were, so this front did not start empty
   bool ask_for_list_ = false;
-  std::map<ServerId, Server> servers_;
+  std::deque<Server> servers_;                // by id
+  std::vector<std::vector<ServerId>> cells_;  // the servers listed in each
   std::vector<Rack> racks_;
+  double mean_streams_ = 0;  // of a listed server
   std::map<PlaybackId, Playback> playbacks_;
   std::deque<Span> taken_;
   std::deque<Span> further_;
