Guess an unreported server by what reports say of others; draw among near ties

Cause: at full size an even part of a link is all of it, so unreported servers had no room, and fronts that saw alike chose alike.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,6 +26,7 @@
 // Chebyshev: nine tenths of all values lie within sqrt(10) deviations of the mean, on either side.
 const double chebyshev_gap = 2 * std::sqrt(10.0);
 constexpr double spread_tie = 0.1;
+constexpr double room_tie = 0.05;  // of a link
 
 // Parts of a link that room may fill: true rates leave the ladder, and newcomers need some.
 constexpr double filled_by_floor = 0.95;  // by a playback that can play no lower
@@ -121,8 +122,9 @@
   std::optional<double> kb;
   Span heard_at{0};
 
-  void hear(double heard, Span now) {
-    kb = kb ? *kb + report_weight * (heard - *kb) : heard;
+  void hear(double heard, Span now, Span memory) {
+    const double kept = (1 - report_weight) * trust(now, memory);
+    kb = kept * kb.value_or(0) + (1 - kept) * heard;
     heard_at = now;
   }
   double trust(Span now, Span memory) const {
@@ -130,6 +132,20 @@
   }
 };
 
+// What reports on all servers say of the others' part of a link or uplink: the guess where none tells.
+struct UsualFill {
+  FadingSum fills;
+  FadingSum count;
+
+  void hear(double fill, Span now, Span memory) {
+    fills.add(now, fill, memory);
+    count.add(now, 1, memory);
+  }
+  double read(Span now, Span memory, double unheard) {
+    return (unheard + fills.read(now, memory)) / (1 + count.read(now, memory));
+  }
+};
+
 // A CUBIC window: cut on a loss, regrown by the cubic.
 struct Window {
   double peak = 0;
@@ -378,7 +394,9 @@
   void take_report(ServerId id, const LoadReport& load) {
     auto& server = server_at(id);
     if (load.link_fill) {
-      server.others.hear(*load.link_fill * link_of(server) - server.own_kb, now_);
+      const double others = *load.link_fill * link_of(server) - server.own_kb;
+      server.others.hear(others, now_, memory());
+      usual_link_.hear(std::max(0.0, others) / link_of(server), now_, memory());
       server.added_kb = 0;
     }
     // The first window leaves out the streams in use, this front's own aside.
@@ -388,17 +406,24 @@
     }
     if (load.uplink_fill) {
       auto& rack = rack_of(server);
-      rack.others.hear(*load.uplink_fill * terms_.uplink_kb - own_in(rack), now_);
+      const double others = *load.uplink_fill * terms_.uplink_kb - own_in(rack);
+      rack.others.hear(others, now_, memory());
+      usual_uplink_.hear(std::max(0.0, others) / terms_.uplink_kb, now_, memory());
     }
   }
 
   // Guards against acting on old reports as if they were fresh: as a report grows old, the others are
-  // left their even part instead. Covers late reports, and servers that report only while this front
-  // has playbacks there; does harm where the others' use is steady and far from even.
-  double others_of(const OthersUse& others, double whole) const {
-    const double trust = others.trust(now_, report_memory * silence());
-    return trust * others.kb.value_or(0) + (1 - trust) * whole * (terms_.fronts - 1) / terms_.fronts;
+  // taken to use what they use elsewhere. Covers late reports, and servers that report only while this
+  // front has playbacks there; does harm where the others' use is steady and far from usual.
+  double others_of(const OthersUse& others, double whole, UsualFill& usual) {
+    const double trust = others.trust(now_, memory());
+    const double even = static_cast<double>(terms_.fronts - 1) / terms_.fronts;
+    const double guess = usual.read(now_, memory(), std::min(even, fair_filled)) * whole;
+    return trust * others.kb.value_or(0) + (1 - trust) * guess;
   }
+  double others_on(const Server& server) { return others_of(server.others, link_of(server), usual_link_); }
+
+  Span memory() const { return report_memory * silence(); }
 
   double own_in(const Rack& rack) {
     double own = 0;
@@ -416,14 +441,14 @@
     // Guards against all fronts filling the same room between reports; floors are small enough to go
     // in.
     const double unseen = filled < filled_by_floor ? herd * (terms_.fronts - 1) * server.added_kb : 0;
-    return std::min(rest - others_of(server.others, link) - unseen, room_in(rack_of(server), filled));
+    return std::min(rest - others_of(server.others, link, usual_link_) - unseen, room_in(rack_of(server), filled));
   }
 
   double room_in(const Rack& rack, double filled) {
     if (terms_.uplink_kb <= 0) return std::numeric_limits<double>::max();
     const double uplink = uplink_of(rack) * filled;
     if (!rack.others.kb) return uplink - asked_of(rack);
-    return uplink - own_in(rack) - others_of(rack.others, uplink);
+    return uplink - own_in(rack) - others_of(rack.others, uplink, usual_uplink_);
   }
 
   // What servers' reports tell of all that is asked of a rack.
@@ -432,7 +457,7 @@
     for (const auto id : rack.servers) {
       const auto& server = servers_[id];
       if (server.standing == Standing::ready)
-        asked += server.own_kb + others_of(server.others, link_of(server));
+        asked += server.own_kb + others_on(server);
     }
     return asked;
   }
@@ -572,7 +597,7 @@
       if (server.standing != Standing::ready) continue;
       const auto rack = rack_index(server);
       links[rack] += link_of(server);
-      others[rack] += others_of(server.others, link_of(server));
+      others[rack] += others_on(server);
     }
     double all = 0, free = 0;
     for (std::size_t rack = 0; rack < racks_.size(); ++rack) {
@@ -803,13 +828,18 @@
   std::optional<ServerId> choose(const std::vector<ServerId>& open, double kb, double filled) {
     std::optional<ServerId> best;
     double best_spread = 0, best_room = 0;
+    int alike = 0;
     for (const auto id : open) {
       auto& server = servers_[id];
       const double left = room(server, filled) - kb;
       if (left < 0) continue;
       const double spread = server.shares.spread(now_, silence());
       const bool tie = best && std::abs(spread - best_spread) <= spread_tie;
-      if (best && (tie ? left <= best_room : spread > best_spread)) continue;
+      const double alike_kb = room_tie * link_of(server);
+      if (best && (tie ? left < best_room - alike_kb : spread > best_spread)) continue;
+      // Guards against fronts that see alike all choosing alike: one is drawn of those nearly tied.
+      alike = tie && left <= best_room + alike_kb ? alike + 1 : 1;
+      if (alike > 1 && draw() * alike >= 1) continue;
       best = id;
       best_spread = spread;
       best_room = left;
@@ -817,6 +847,9 @@
     return best;
   }
 
+  // A number drawn from 0 up to 1.
+  double draw() { return std::uniform_real_distribution<>()(chance_); }
+
   void send(Playback& playback, ServerId id, int rung) {
     const auto& request = playback.request;
     auto& server = servers_[id];
@@ -857,7 +890,7 @@
     if (!proof) playback.may_have_run = true;
     if (outcome == Outcome::reset || outcome == Outcome::no_connection || outcome == Outcome::late)
       strike(server);
-    if (outcome == Outcome::full) server.others.hear(link_of(server) - server.own_kb, now_);
+    if (outcome == Outcome::full) server.others.hear(link_of(server) - server.own_kb, now_, memory());
   }
 
   // Silence, a reset or a refused connection: rest, then one single try at a time until one starts.
@@ -937,6 +970,8 @@
   std::deque<Span> taken_;
   std::deque<Span> further_;
   double probes_due_ = 0;
+  UsualFill usual_link_;
+  UsualFill usual_uplink_;
   FadingSum starts_;
   FadingSum lives_;
   FadingSum lives_known_;
