Fill a link the less for a rung the less its last step earns, without fair rungs

Cause: fair rungs counted this front's own few playbacks, which tell nothing of a fleet. Every rung now has a part of the link that it may fill, by what its last step earns per kB, as in trunk reservation: fronts that probe the same server come to the same rung.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -32,6 +32,7 @@
 constexpr double filled_by_floor = 0.95;  // by a playback that can play no lower
 constexpr double filled_by_start = 0.9;   // by one that starts above its floor
 constexpr double filled_by_margin = 0.8;  // by the first step that does not fit all who could use it
+constexpr double reserve = 0.25;          // how steeply that falls with what a step earns
 constexpr double fair_filled = 0.85;      // of all links, by all playbacks at their fair rungs
 constexpr double share_memory = 6;        // the share's mean reaches back so many note lags
 constexpr double uplink_memory = 10;      // likewise what an uplink was seen to give
@@ -625,11 +626,14 @@
     return 0;
   }
 
-  // How far a link may be filled for this rung: the less its last step earns, the more stays free.
-  double filled_for(const Request& request, int rung, double fair) const {
+  // How far a link may be filled for this rung: the less its last step earns for each kB, beside the
+  // ladder's best, the more stays free for those who come later.
+  double filled_for(const Request& request, int rung) const {
     if (rung <= floor_of(request)) return filled_by_floor;
-    const double value = step_value(request, rung);
-    return value > fair ? filled_by_start : value == fair ? filled_by_margin : 0;
+    double best = 0;
+    for (int step = 0; step < static_cast<int>(terms_.rung_kb.size()); ++step)
+      best = std::max(best, step_value(request, step));
+    return filled_by_start * std::pow(step_value(request, rung) / best, reserve);
   }
 
   // A front that has just started holds few playbacks yet: it counts those that its starts foretell.
@@ -662,10 +666,9 @@
         wishes.emplace_back(-step_value(playback.request, playback.rung + 1), &playback);
     }
     if (wishes.empty()) return;
-    const double fair = fair_value();
     std::stable_sort(wishes.begin(), wishes.end(), [](auto& a, auto& b) { return a.first < b.first; });
     for (const auto& [value, playback] : wishes) {
-      const int rung = rung_to_rise_to(*playback, fair);
+      const int rung = rung_to_rise_to(*playback);
       if (rung <= playback->rung || !rise_pays(*playback, rung)) continue;
       servers_[playback->server].added_kb +=
           rate(playback->request, rung) - rate(playback->request, playback->rung);
@@ -676,13 +679,13 @@
   // Fronts that may rise into the same room: notes reach all at once, the answer to a probe one alone.
   int rivals() const { return terms_.may_probe ? std::min(terms_.fronts, 2) : terms_.fronts; }
 
-  int rung_to_rise_to(const Playback& playback, double fair) {
+  int rung_to_rise_to(const Playback& playback) {
     const auto& request = playback.request;
     auto& server = servers_[playback.server];
     int rung = top_of(request);
     for (; rung > playback.rung; --rung) {
       const double more = rate(request, rung) - rate(request, playback.rung);
-      if (more * rivals() <= room(server, filled_for(request, rung, fair))) break;
+      if (more * rivals() <= room(server, filled_for(request, rung))) break;
     }
     return rung;
   }
@@ -802,10 +805,9 @@
     playback.asked.reset();
     if (!may_try(playback)) return give_up(playback);
     const auto& request = playback.request;
-    const double fair = fair_value();
     const auto open = open_holders(request);
     for (int rung = top_of(request); rung >= floor_of(request); --rung) {
-      const auto id = choose(open, rate(request, rung), filled_for(request, rung, fair));
+      const auto id = choose(open, rate(request, rung), filled_for(request, rung));
       if (!id) continue;
       if (worth_asking(playback, servers_[*id])) return ask(playback, *id);
       return send(playback, *id, rung);
