--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -182,6 +182,7 @@
   int setting_up = 0;
   OthersUse others;     // ladder errors included
   Span asked_at{0};     // before the first report
+  bool news = false;    // a report that no rise has been weighed by yet
   double added_kb = 0;  // by starts and rises of this front since the last report
 
   int strikes = 0;
@@ -399,6 +400,7 @@
       server.others.hear(others, now_, memory());
       usual_link_.hear(std::max(0.0, others) / link_of(server), now_, memory());
       server.added_kb = 0;
+      server.news = true;
     }
     // The first window leaves out the streams in use, this front's own aside.
     if (load.streams && !server.window_cut) {
@@ -665,31 +667,40 @@
       if (may_rise(playback))
         wishes.emplace_back(-step_value(playback.request, playback.rung + 1), &playback);
     }
-    if (wishes.empty()) return;
+    for (auto& server : servers_) server.news = false;
     std::stable_sort(wishes.begin(), wishes.end(), [](auto& a, auto& b) { return a.first < b.first; });
     for (const auto& [value, playback] : wishes) {
       const int rung = rung_to_rise_to(*playback);
-      if (rung <= playback->rung || !rise_pays(*playback, rung)) continue;
+      if (rung <= playback->rung || !rise_pays(*playback, rung) || !drawn_to_rise(*playback, rung)) continue;
       servers_[playback->server].added_kb +=
           rate(playback->request, rung) - rate(playback->request, playback->rung);
       change_rung(*playback, rung);
     }
   }
 
-  // Fronts that may rise into the same room: notes reach all at once, the answer to a probe one alone.
-  int rivals() const { return terms_.may_probe ? std::min(terms_.fronts, 2) : terms_.fronts; }
-
   int rung_to_rise_to(const Playback& playback) {
     const auto& request = playback.request;
     auto& server = servers_[playback.server];
     int rung = top_of(request);
     for (; rung > playback.rung; --rung) {
       const double more = rate(request, rung) - rate(request, playback.rung);
-      if (more * rivals() <= room(server, filled_for(request, rung))) break;
+      if (more <= room(server, filled_for(request, rung))) break;
     }
     return rung;
   }
 
+  // Fronts that hear of the same room rise by chance, so that together they may be expected to fill it.
+  // The answer to a probe one front hears alone; notes reach all that have playbacks there, which are
+  // as many as the others' use at the rate of this front's own.
+  bool drawn_to_rise(const Playback& playback, int rung) {
+    if (terms_.may_probe) return true;
+    auto& server = servers_[playback.server];
+    const double more = rate(playback.request, rung) - rate(playback.request, playback.rung);
+    const double rivals = others_on(server) * server.held / server.own_kb;
+    return draw() * more * (1 + std::clamp<double>(rivals, 0, terms_.fronts - 1)) <=
+           room(server, filled_for(playback.request, rung));
+  }
+
   // A rise pays for its switch, and the more often the fuller the link: it is the sooner taken back.
   bool rise_pays(const Playback& playback, int rung) {
     const auto& revenue = terms_.rung_revenue;
@@ -703,7 +714,7 @@
     if (playback.state != Playback::State::playing || playback.withdrawn) return false;
     if (playback.rung >= top_of(playback.request)) return false;
     const auto& server = servers_[playback.server];
-    if (server.short_since || server.strikes > 0) return false;
+    if (!server.news || server.short_since || server.strikes > 0) return false;
     return !playback.chosen_at || now_ - *playback.chosen_at >= rise_spacing * terms_.switch_cost;
   }
 
