--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -32,12 +32,13 @@
 constexpr double filled_by_floor = 0.95;  // by a playback that can play no lower
 constexpr double filled_by_start = 0.9;   // by one that starts above its floor
 constexpr double filled_by_margin = 0.8;  // by the first step that does not fit all who could use it
-constexpr double reserve = 0.25;          // how steeply that falls with what a step earns
+constexpr double reserve = 0.4;          // how steeply that falls with what a step earns
 constexpr double fair_filled = 0.85;      // of all links, by all playbacks at their fair rungs
 constexpr double share_memory = 6;        // the share's mean reaches back so many note lags
 constexpr double uplink_memory = 10;      // likewise what an uplink was seen to give
 constexpr double herd = 0.5;              // kB that each other front is taken to add for each of this front's
 constexpr int report_memory = 10;         // a report is trusted so many note spacings
+constexpr double caution = 2;             // deviations by which a server without reports counts as fuller
 constexpr double report_weight = 0.7;     // what a new report counts against the older ones
 constexpr double rise_spacing = 10;       // a playback's rises lie so many switch costs apart at least
 constexpr double rise_payoff = 8;         // a rise earns so many times its price
@@ -133,17 +134,23 @@
   }
 };
 
-// What reports on all servers say of the others' part of a link or uplink: the guess where none tells.
+// What reports on all servers say of the others' part of a link or uplink, for where none tells: their
+// mean and so many deviations, as a server that was passed over is likely fuller than those used.
 struct UsualFill {
   FadingSum fills;
+  FadingSum squares;
   FadingSum count;
 
   void hear(double fill, Span now, Span memory) {
     fills.add(now, fill, memory);
+    squares.add(now, fill * fill, memory);
     count.add(now, 1, memory);
   }
   double read(Span now, Span memory, double unheard) {
-    return (unheard + fills.read(now, memory)) / (1 + count.read(now, memory));
+    const double heard = 1 + count.read(now, memory);
+    const double mean = (unheard + fills.read(now, memory)) / heard;
+    const double square = (unheard * unheard + squares.read(now, memory)) / heard;
+    return std::min(1.0, mean + caution * std::sqrt(std::max(0.0, square - mean * mean)));
   }
 };
 
@@ -837,7 +844,9 @@
     for (auto* playback : waiting) place(*playback);
   }
 
-  // The page's choice: window room and room for the rung, least spread, ties to most room.
+  // The page's choice: window room and room for the rung, least spread, ties to most room. Of those
+  // nearly tied in room too, one just heard of goes first; else one is drawn, as fronts that see alike
+  // would otherwise all choose alike.
   std::optional<ServerId> choose(const std::vector<ServerId>& open, double kb, double filled) {
     std::optional<ServerId> best;
     double best_spread = 0, best_room = 0;
@@ -847,12 +856,19 @@
       const double left = room(server, filled) - kb;
       if (left < 0) continue;
       const double spread = server.shares.spread(now_, silence());
-      const bool tie = best && std::abs(spread - best_spread) <= spread_tie;
-      const double alike_kb = room_tie * link_of(server);
-      if (best && (tie ? left < best_room - alike_kb : spread > best_spread)) continue;
-      // Guards against fronts that see alike all choosing alike: one is drawn of those nearly tied.
-      alike = tie && left <= best_room + alike_kb ? alike + 1 : 1;
-      if (alike > 1 && draw() * alike >= 1) continue;
+      const double more = left - best_room;
+      if (best && std::abs(spread - best_spread) > spread_tie) {
+        if (spread > best_spread) continue;
+        alike = 1;
+      } else if (best && std::abs(more) > room_tie * link_of(server)) {
+        if (more < 0) continue;
+        alike = 1;
+      } else if (best && just_heard(server) != just_heard(servers_[*best])) {
+        if (!just_heard(server)) continue;
+        alike = 1;
+      } else if (draw() * ++alike >= 1) {
+        continue;
+      }
       best = id;
       best_spread = spread;
       best_room = left;
@@ -860,6 +876,10 @@
     return best;
   }
 
+  bool just_heard(const Server& server) const {
+    return server.others.kb && now_ - server.others.heard_at <= fresh_report;
+  }
+
   // A number drawn from 0 up to 1.
   double draw() { return std::uniform_real_distribution<>()(chance_); }
 
@@ -937,7 +957,7 @@
   bool may_ask(const Playback& playback, const Server& server) const {
     if (!terms_.may_probe || probes_due_ < -most_probes_due || playback.probes >= most_probes) return false;
     if (playback.target_at - now_ < 2 * tick) return false;
-    return !server.others.kb || now_ - server.others.heard_at > fresh_report;
+    return !just_heard(server);
   }
 
   // Playbacks handed over should not wait for a set-up to bring the first report of their server.
