--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -32,18 +32,18 @@
 constexpr double filled_by_floor = 0.95;  // by a playback that can play no lower
 constexpr double filled_by_start = 0.9;   // by one that starts above its floor
 constexpr double filled_by_margin = 0.8;  // by the first step that does not fit all who could use it
-constexpr double reserve = 0.4;          // how steeply that falls with what a step earns
+constexpr double reserve = 0.25;          // how steeply that falls with what a step earns
 constexpr double fair_filled = 0.85;      // of all links, by all playbacks at their fair rungs
 constexpr double share_memory = 6;        // the share's mean reaches back so many note lags
 constexpr double uplink_memory = 10;      // likewise what an uplink was seen to give
 constexpr double herd = 0.5;              // kB that each other front is taken to add for each of this front's
 constexpr int report_memory = 10;         // a report is trusted so many note spacings
-constexpr double caution = 2;             // deviations by which a server without reports counts as fuller
+constexpr double caution = 0.7;             // deviations by which a server without reports counts as fuller
 constexpr double report_weight = 0.7;     // what a new report counts against the older ones
 constexpr double rise_spacing = 10;       // a playback's rises lie so many switch costs apart at least
 constexpr double rise_payoff = 8;         // a rise earns so many times its price
 constexpr double pace_kept = 0.8;         // part of this front's even part of a cold server's pace
-constexpr double probe_spending = 0.01;   // part of the revenue that probes may cost
+constexpr double probe_spending = 0.015;  // part of the revenue that probes may cost
 constexpr int most_probes = 2;            // before one set-up
 constexpr double most_probes_due = 4;
 constexpr Span fresh_report = 1s;
@@ -188,7 +188,7 @@
   int held = 0;
   int setting_up = 0;
   OthersUse others;     // ladder errors included
-  Span asked_at{0};     // before the first report
+  Span asked_at = -1h;  // by a probe for a rise
   bool news = false;    // a report that no rise has been weighed by yet
   double added_kb = 0;  // by starts and rises of this front since the last report
 
@@ -671,7 +671,7 @@
   void rise() {
     std::vector<std::pair<double, Playback*>> wishes;
     for (auto& [id, playback] : playbacks_) {
-      if (may_rise(playback))
+      if (may_rise(playback) && servers_[playback.server].news)
         wishes.emplace_back(-step_value(playback.request, playback.rung + 1), &playback);
     }
     for (auto& server : servers_) server.news = false;
@@ -721,7 +721,7 @@
     if (playback.state != Playback::State::playing || playback.withdrawn) return false;
     if (playback.rung >= top_of(playback.request)) return false;
     const auto& server = servers_[playback.server];
-    if (!server.news || server.short_since || server.strikes > 0) return false;
+    if (server.short_since || server.strikes > 0) return false;
     return !playback.chosen_at || now_ - *playback.chosen_at >= rise_spacing * terms_.switch_cost;
   }
 
@@ -960,15 +960,23 @@
     return !just_heard(server);
   }
 
-  // Playbacks handed over should not wait for a set-up to bring the first report of their server.
+  // Where playbacks that may rise play, a probe tells of room: at once for those handed over, and then
+  // as far as probes are left, the oldest report first.
   void ask_where_playbacks_play() {
     if (!terms_.may_probe) return;
-    for (ServerId id = 0; id < servers_.size(); ++id) {
-      auto& server = servers_[id];
-      if (server.held == 0 || server.others.kb || now_ - server.asked_at < terms_.note_lag) continue;
-      server.asked_at = now_;
-      orders_.push_back(Probe{id});
+    Server* oldest = nullptr;
+    ServerId oldest_id = 0;
+    for (const auto& [id, playback] : playbacks_) {
+      auto& server = servers_[playback.server];
+      if (!may_rise(playback) || now_ - server.asked_at < rise_spacing * terms_.switch_cost) continue;
+      if (oldest && oldest->others.heard_at <= server.others.heard_at) continue;
+      oldest = &server;
+      oldest_id = playback.server;
     }
+    if (!oldest || (probes_due_ < 1 && oldest->others.kb)) return;
+    if (oldest->others.kb) probes_due_ -= 1;
+    oldest->asked_at = now_;
+    orders_.push_back(Probe{oldest_id});
   }
 
   // Guards against turning viewers away for room that has since come free.
