Draw for the last step of a drop by the part of it that is needed

Cause: all fronts with a playback on a short server hear the same note and each dropped a whole rung, for missing parts far smaller than that.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -526,8 +526,10 @@
     server.last_drop = now_;
     double needed = server.own_kb * (1 - share);
     while (needed > 0) {
-      const auto step = cheapest_step(server, needed);
+      const auto step = cheapest_step(server);
       if (!step.playback) return;
+      // Guards against all fronts dropping a whole rung for a part of one: the last step is drawn for.
+      if (draw() * step.freed >= needed) return;
       needed -= step.freed;
       change_rung(*step.playback, step.rung);
     }
@@ -583,8 +585,8 @@
     double loss = 0;
   };
 
-  // The step down, over one rung or several, that loses least for each kB of `needed` it frees.
-  StepDown cheapest_step(const Server& server, double needed) {
+  // The step down, over one rung or several, that loses least for each kB it frees.
+  StepDown cheapest_step(const Server& server) {
     StepDown best;
     for (auto& [id, playback] : playbacks_) {
       if (playback.state != Playback::State::playing || playback.withdrawn) continue;
@@ -592,7 +594,7 @@
       for (int rung = floor_of(playback.request); rung < playback.rung; ++rung) {
         const double freed = rate(playback.request, playback.rung) - rate(playback.request, rung);
         const double loss = loss_of(playback, rung);
-        if (!best.playback || loss * std::min(best.freed, needed) < best.loss * std::min(freed, needed))
+        if (!best.playback || loss * best.freed < best.loss * freed)
           best = {&playback, rung, freed, loss};
       }
     }
