--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -195,7 +195,7 @@
   int strikes = 0;
   Span rests_until{0};
   std::optional<Span> cold_since;
-  std::optional<Span> last_set_up;
+  Span last_set_up = -24h;  // as the cold pace counts
 };
 
 struct Playback {
@@ -377,12 +377,19 @@
       server.rests_until = now_;
       server.others.kb.reset();
     }
-    if (server.started)
-      server.cold_since = std::max(server.cold_since.value_or(*server.started), *server.started);
+    if (server.started) take_start(server, *server.started);
     if (!server.listed) server.window.open_at(std::max(1.0, streams_of(server) - server.held), now_);
     server.listed = true;
   }
 
+  // A start opens the pace at a moment drawn within this front's first interval.
+  void take_start(Server& server, Span started) {
+    if (server.cold_since && *server.cold_since >= started) return;
+    server.cold_since = started;
+    const Span first = pace_interval(server, 0s, terms_.fronts);
+    server.last_set_up = std::max(server.last_set_up, started - span_of(draw() * seconds(first)));
+  }
+
   double streams_of(const Server& server) const {
     const auto kind = static_cast<std::size_t>(server.kind);
     return kind < terms_.kind_streams.size() ? terms_.kind_streams[kind] : 1;
@@ -781,18 +788,19 @@
   // which it may be set up. A front that has itself just started can't tell; few others start with it,
   // so half is its.
   bool within_pace(const Server& server) const {
-    if (!server.last_set_up) return true;
     const Span age = now_ - server.cold_since.value_or(-terms_.cold_time);
-    return keeps_pace(server, age, terms_.fronts) && keeps_pace(server, now_, std::min(terms_.fronts, 2));
+    const Span since = now_ - server.last_set_up;
+    return since >= pace_interval(server, age, terms_.fronts) &&
+           since >= pace_interval(server, now_, std::min(terms_.fronts, 2));
   }
 
-  // Whether one of so many fronts may send a server of that age a further set-up now.
-  bool keeps_pace(const Server& server, Span age, int fronts) const {
-    if (age >= terms_.cold_time) return true;
+  // How far apart one of so many fronts may send set-ups to a server of that age.
+  Span pace_interval(const Server& server, Span age, int fronts) const {
+    if (age >= terms_.cold_time) return 0s;
     const double warmed = std::max(0.0, seconds(age) / seconds(terms_.cold_time));
     const double warmth = terms_.cold_from + (1 - terms_.cold_from) * warmed * warmed;
     const double pace = streams_of(server) / seconds(terms_.cold_time) * warmth * terms_.overload_multiple;
-    return seconds(now_ - *server.last_set_up) * pace * pace_kept >= fronts;
+    return span_of(fronts / (pace * pace_kept));
   }
 
   bool has_seat(const Request& request) const {
