--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,9 +31,8 @@
 // Parts of a link that room may fill: true rates leave the ladder, and newcomers need some.
 constexpr double filled_by_floor = 0.95;  // by a playback that can play no lower
 constexpr double filled_by_start = 0.9;   // by one that starts above its floor
-constexpr double filled_by_margin = 0.8;  // by the first step that does not fit all who could use it
 constexpr double reserve = 0.25;          // how steeply that falls with what a step earns
-constexpr double fair_filled = 0.85;      // of all links, by all playbacks at their fair rungs
+constexpr double unheard_fill = 0.85;      // of a link, by the others, before any report
 constexpr double share_memory = 6;        // the share's mean reaches back so many note lags
 constexpr double uplink_memory = 10;      // likewise what an uplink was seen to give
 constexpr double herd = 0.5;              // kB that each other front is taken to add for each of this front's
@@ -52,7 +51,6 @@
 constexpr double come_back_part = 0.5;    // of the longest come-back time
 constexpr Span first_life = 30s;          // how long playbacks last until this front knows
 constexpr double first_lives = 10;        // so many lives of its own count as much as that
-constexpr double most_foretold = 4;       // times the playbacks held
 constexpr Span tick = 250ms;
 constexpr std::uint32_t tick_token = 1;
 
@@ -262,7 +260,6 @@
   }
 
   void on(const CarriedOver& carried) {
-    handed_over_ = true;
     auto& playback = admit(carried.request);
     playback.state = Playback::State::playing;
     playback.tries = 1;
@@ -283,7 +280,6 @@
     auto& server = server_at(what.server);
     found->second.state = Playback::State::playing;
     found->second.chosen_at = now_;
-    starts_.add(now_, 1, first_life);
     --server.setting_up;
     server.strikes = 0;
   }
@@ -435,7 +431,7 @@
   double others_of(const OthersUse& others, double whole, UsualFill& usual) {
     const double trust = others.trust(now_, memory());
     const double even = static_cast<double>(terms_.fronts - 1) / terms_.fronts;
-    const double guess = usual.read(now_, memory(), std::min(even, fair_filled)) * whole;
+    const double guess = usual.read(now_, memory(), std::min(even, unheard_fill)) * whole;
     return trust * others.kb.value_or(0) + (1 - trust) * guess;
   }
   double others_on(const Server& server) { return others_of(server.others, link_of(server), usual_link_); }
@@ -608,42 +604,6 @@
     return best;
   }
 
-  // The revenue per kB at which this front's playbacks would fill its part of all links: steps worth
-  // less than that would leave no room for the others.
-  double fair_value() {
-    std::vector<double> links(racks_.size()), others(racks_.size());
-    for (const auto& server : servers_) {
-      if (server.standing != Standing::ready) continue;
-      const auto rack = rack_index(server);
-      links[rack] += link_of(server);
-      others[rack] += others_on(server);
-    }
-    double all = 0, free = 0;
-    for (std::size_t rack = 0; rack < racks_.size(); ++rack) {
-      const double carried =
-          fair_filled * (terms_.uplink_kb > 0 ? std::min(links[rack], uplink_of(racks_[rack])) : links[rack]);
-      all += carried;
-      free += carried - others[rack];
-    }
-    double left = std::max(all / terms_.fronts, free);
-    std::map<double, double, std::greater<>> asked;
-    if (just_started()) {
-      const double held = static_cast<double>(std::max<std::size_t>(1, playbacks_.size()));
-      left /= std::clamp(foretold() / held, 1.0, most_foretold);
-    }
-    for (const auto& [id, playback] : playbacks_) {
-      const auto& request = playback.request;
-      left -= rate(request, floor_of(request));
-      for (int rung = floor_of(request) + 1; rung <= top_of(request); ++rung)
-        asked[step_value(request, rung)] += rate(request, rung) - rate(request, rung - 1);
-    }
-    for (const auto& [value, kb] : asked) {
-      if (left < kb) return value;
-      left -= kb;
-    }
-    return 0;
-  }
-
   // How far a link may be filled for this rung: the less its last step earns for each kB, beside the
   // ladder's best, the more stays free for those who come later.
   double filled_for(const Request& request, int rung) const {
@@ -654,16 +614,6 @@
     return filled_by_start * std::pow(step_value(request, rung) / best, reserve);
   }
 
-  // A front that has just started holds few playbacks yet: it counts those that its starts foretell.
-  // Later, starts that come in a burst are mostly viewers who come back.
-  bool just_started() const { return !handed_over_ && now_ < first_life; }
-
-  // How many playbacks this front will hold if starts go on as they have and last as long as usual.
-  double foretold() {
-    const double watched = -std::expm1(-seconds(now_ + tick) / seconds(first_life));
-    return starts_.read(now_, first_life) / watched * seconds(usual_life()) / seconds(first_life);
-  }
-
   Span usual_life() {
     const double known = lives_known_.read(now_, first_life);
     const double lives = lives_.read(now_, first_life);
@@ -1011,7 +961,6 @@
   Span now_{0};
   std::vector<Order> orders_;
   bool ticking_ = false;
-  bool handed_over_ = false;  // playbacks were, so this front did not start empty
   bool ask_for_list_ = false;
   std::deque<Server> servers_;                // by id
   std::vector<std::vector<ServerId>> cells_;  // the servers listed in each
@@ -1023,7 +972,6 @@
   double probes_due_ = 0;
   UsualFill usual_link_;
   UsualFill usual_uplink_;
-  FadingSum starts_;
   FadingSum lives_;
   FadingSum lives_known_;
 };
