--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -527,7 +527,7 @@
   void drop_rungs(Server& server, double share) {
     if (server.last_drop && now_ - *server.last_drop < terms_.note_lag + silence()) return;
     server.last_drop = now_;
-    double needed = server.own_kb * (1 - share);
+    double needed = server.own_kb * (1 - filled_by_start * share);
     while (needed > 0) {
       const auto step = cheapest_step(server);
       if (!step.playback) return;
