--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -279,7 +279,6 @@
     if (found == playbacks_.end() || found->second.state != Playback::State::setting_up) return;
     auto& server = server_at(what.server);
     found->second.state = Playback::State::playing;
-    found->second.chosen_at = now_;
     --server.setting_up;
     server.strikes = 0;
   }
