--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -66,6 +66,8 @@
   terms.may_probe = settings.flag("Limits.MayProbe");
   terms.list_on_request = settings.text("Discovery") == "ask";
   terms.probe_price = settings.number("Prices.Probe", 0);
+  terms.own_hall = static_cast<int>(settings.integer("Locality", 0));
+  terms.crossing_price = settings.number("Prices.CrossZone", 0);
   return terms;
 }
 
@@ -262,7 +264,7 @@
                                          : Standing::gone;
   entry.wire_id = fields.text("a video server");
   entry.entry.kind = static_cast<int>(fields.maybe_integer("a kind").value_or(0));
-  fields.maybe_integer("a zone");
+  entry.entry.hall = static_cast<int>(fields.maybe_integer("a zone").value_or(0));
   entry.entry.cell = static_cast<int>(fields.maybe_integer("a cell").value_or(0));
   entry.started_clock = fields.maybe_integer("a start time");
   entry.entry.weight = fields.maybe_number("a weight").value_or(1);
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -171,6 +171,7 @@
   Standing standing = Standing::gone;
   int kind = 0;
   int cell = 0;
+  int hall = 0;
   double weight = 1;
   std::optional<Span> started;
 
@@ -364,6 +365,7 @@
     const bool restarted = server.listed && entry.started && entry.started != server.started;
     server.kind = entry.kind;
     server.cell = entry.cell;
+    server.hall = entry.hall;
     server.weight = entry.weight;
     server.standing = entry.standing;
     server.started = entry.started;
@@ -819,6 +821,9 @@
       if (best && std::abs(spread - best_spread) > spread_tie) {
         if (spread > best_spread) continue;
         alike = 1;
+      } else if (best && crosses(server) != crosses(servers_[*best])) {
+        if (crosses(server)) continue;
+        alike = 1;
       } else if (best && std::abs(more) > room_tie * link_of(server)) {
         if (more < 0) continue;
         alike = 1;
@@ -835,6 +840,10 @@
     return best;
   }
 
+  bool crosses(const Server& server) const {
+    return terms_.crossing_price > 0 && server.hall != terms_.own_hall;
+  }
+
   bool just_heard(const Server& server) const {
     return server.others.kb && now_ - server.others.heard_at <= fresh_report;
   }
--- a/src/brain.h
+++ b/src/brain.h
@@ -52,6 +52,8 @@
   bool may_probe = false;
   bool list_on_request = false;
   double probe_price = 0;
+  int own_hall = 0;
+  double crossing_price = 0;  // of a playback in another hall
 };
 
 // What happened.
@@ -61,6 +63,7 @@
   Standing standing = Standing::ready;
   int kind = 0;
   int cell = 0;
+  int hall = 0;
   std::optional<Span> started;
   double weight = 1;
 };
