Take others to add as this front did only as far as that is likely since the report

Cause: the herd term grew with the number of fronts without bound, so that one own set-up closed a server to every rung above the floor.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -42,7 +42,7 @@
 constexpr double rise_spacing = 10;       // a playback's rises lie so many switch costs apart at least
 constexpr double rise_payoff = 8;         // a rise earns so many times its price
 constexpr double pace_kept = 0.8;         // part of this front's even part of a cold server's pace
-constexpr double probe_spending = 0.015;  // part of the revenue that probes may cost
+constexpr double probe_spending = 0.02;  // part of the revenue that probes may cost
 constexpr int most_probes = 2;            // before one set-up
 constexpr double most_probes_due = 4;
 constexpr Span fresh_report = 1s;
@@ -358,6 +358,7 @@
       ++count;
     }
     mean_streams_ = count == 0 ? 0 : streams / count;
+    listed_ = count;
   }
 
   void take_entry(const ServerEntry& entry) {
@@ -452,12 +453,20 @@
   double room(Server& server, double filled) {
     const double link = link_of(server) * filled * server.shares.mean(now_, silence());
     const double rest = link - server.own_kb;
-    // Guards against all fronts filling the same room between reports; floors are small enough to go
-    // in.
-    const double unseen = filled < filled_by_floor ? herd * (terms_.fronts - 1) * server.added_kb : 0;
+    const double unseen = filled < filled_by_floor ? herd_on(server) * server.added_kb : 0;
     return std::min(rest - others_of(server.others, link, usual_link_) - unseen, room_in(rack_of(server), filled));
   }
 
+  // Guards against all fronts filling the same room between reports: each other front is taken to add
+  // half of what this one added, as far as that was likely since the report. Floors are small enough to
+  // go in.
+  double herd_on(const Server& server) {
+    const Span age = std::min(now_ - server.others.heard_at, memory());
+    const double pace = starts_.read(now_, first_life) / seconds(first_life);
+    const double likely = pace * seconds(age) / std::max(1, listed_);
+    return herd * (terms_.fronts - 1) * std::min(1.0, likely);
+  }
+
   double room_in(const Rack& rack, double filled) {
     if (terms_.uplink_kb <= 0) return std::numeric_limits<double>::max();
     const double uplink = uplink_of(rack) * filled;
@@ -860,6 +869,7 @@
     if (playback.tries > 0) further_.push_back(now_);
     ++playback.tries;
     ++server.setting_up;
+    starts_.add(now_, 1, first_life);
     server.last_set_up = now_;
     server.added_kb += rate(request, rung);
     orders_.push_back(SetRung{request.playback, rung});
@@ -974,12 +984,14 @@
   std::vector<std::vector<ServerId>> cells_;  // the servers listed in each
   std::vector<Rack> racks_;
   double mean_streams_ = 0;  // of a listed server
+  int listed_ = 0;
   std::map<PlaybackId, Playback> playbacks_;
   std::deque<Span> taken_;
   std::deque<Span> further_;
   double probes_due_ = 0;
   UsualFill usual_link_;
   UsualFill usual_uplink_;
+  FadingSum starts_;
   FadingSum lives_;
   FadingSum lives_known_;
 };
