--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,7 +30,7 @@
 
 // Parts of a link that room may fill: true rates leave the ladder, and newcomers need some.
 constexpr double filled_by_floor = 0.95;  // by a playback that can play no lower
-constexpr double filled_by_start = 0.9;   // by one that starts above its floor
+constexpr double filled_by_start = 0.95;   // by one that starts above its floor
 constexpr double reserve = 0.25;          // how steeply that falls with what a step earns
 constexpr double unheard_fill = 0.85;      // of a link, by the others, before any report
 constexpr double share_memory = 6;        // the share's mean reaches back so many note lags
