--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,7 +31,8 @@
 // Parts of a link that room may fill: true rates leave the ladder, and newcomers need some.
 constexpr double filled_by_floor = 0.95;  // by a playback that can play no lower
 constexpr double filled_by_start = 0.95;   // by one that starts above its floor
-constexpr double reserve = 0.25;          // how steeply that falls with what a step earns
+constexpr double reserve_asked = 0.25;    // how steeply that falls with what a step earns, where a front may
+constexpr double reserve_told = 0.4;     // ask before it fills room, and where it hears what all hear
 constexpr double unheard_fill = 0.85;      // of a link, by the others, before any report
 constexpr double share_memory = 6;        // the share's mean reaches back so many note lags
 constexpr double uplink_memory = 10;      // likewise what an uplink was seen to give
@@ -621,6 +622,7 @@
     double best = 0;
     for (int step = 0; step < static_cast<int>(terms_.rung_kb.size()); ++step)
       best = std::max(best, step_value(request, step));
+    const double reserve = terms_.may_probe ? reserve_asked : reserve_told;
     return filled_by_start * std::pow(step_value(request, rung) / best, reserve);
   }
 
