Drop the herd term, keep news of room until it is weighed, and bring the scenarios up to date

Cause: the heard-at time of a server never heard of stood at the start, so handed-over playbacks were not probed for half a memory; a report was held too old after a second.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -36,7 +36,6 @@
 constexpr double unheard_fill = 0.85;      // of a link, by the others, before any report
 constexpr double share_memory = 6;        // the share's mean reaches back so many note lags
 constexpr double uplink_memory = 10;      // likewise what an uplink was seen to give
-constexpr double herd = 0.5;              // kB that each other front is taken to add for each of this front's
 constexpr int report_memory = 10;         // a report is trusted so many note spacings
 constexpr double caution = 0.7;             // deviations by which a server without reports counts as fuller
 constexpr double report_weight = 0.7;     // what a new report counts against the older ones
@@ -45,8 +44,8 @@
 constexpr double pace_kept = 0.8;         // part of this front's even part of a cold server's pace
 constexpr double probe_spending = 0.02;  // part of the revenue that probes may cost
 constexpr int most_probes = 2;            // before one set-up
+constexpr double fresh_part = 0.25;       // of a report's memory: so long it needs no probe
 constexpr double most_probes_due = 4;
-constexpr Span fresh_report = 1s;
 constexpr double first_try_share = 0.45;  // part of the time to the startup target that one try may take
 constexpr double first_rest = 1;          // a failing server rests so many startup targets, doubling
 constexpr double come_back_part = 0.5;    // of the longest come-back time
@@ -121,7 +120,7 @@
 // What the others ask of a link or an uplink, by reports; it counts less the older it is.
 struct OthersUse {
   std::optional<double> kb;
-  Span heard_at{0};
+  Span heard_at = -24h;
 
   void hear(double heard, Span now, Span memory) {
     const double kept = (1 - report_weight) * trust(now, memory);
@@ -189,8 +188,7 @@
   int setting_up = 0;
   OthersUse others;     // ladder errors included
   Span asked_at = -1h;  // by a probe for a rise
-  bool news = false;    // a report that no rise has been weighed by yet
-  double added_kb = 0;  // by starts and rises of this front since the last report
+  bool news = false;    // of room, by which no rise has been weighed yet
 
   int strikes = 0;
   Span rests_until{0};
@@ -359,7 +357,6 @@
       ++count;
     }
     mean_streams_ = count == 0 ? 0 : streams / count;
-    listed_ = count;
   }
 
   void take_entry(const ServerEntry& entry) {
@@ -412,7 +409,6 @@
       const double others = *load.link_fill * link_of(server) - server.own_kb;
       server.others.hear(others, now_, memory());
       usual_link_.hear(std::max(0.0, others) / link_of(server), now_, memory());
-      server.added_kb = 0;
       server.news = true;
     }
     // The first window leaves out the streams in use, this front's own aside.
@@ -454,18 +450,7 @@
   double room(Server& server, double filled) {
     const double link = link_of(server) * filled * server.shares.mean(now_, silence());
     const double rest = link - server.own_kb;
-    const double unseen = filled < filled_by_floor ? herd_on(server) * server.added_kb : 0;
-    return std::min(rest - others_of(server.others, link, usual_link_) - unseen, room_in(rack_of(server), filled));
-  }
-
-  // Guards against all fronts filling the same room between reports: each other front is taken to add
-  // half of what this one added, as far as that was likely since the report. Floors are small enough to
-  // go in.
-  double herd_on(const Server& server) {
-    const Span age = std::min(now_ - server.others.heard_at, memory());
-    const double pace = starts_.read(now_, first_life) / seconds(first_life);
-    const double likely = pace * seconds(age) / std::max(1, listed_);
-    return herd * (terms_.fronts - 1) * std::min(1.0, likely);
+    return std::min(rest - others_of(server.others, link, usual_link_), room_in(rack_of(server), filled));
   }
 
   double room_in(const Rack& rack, double filled) {
@@ -517,6 +502,7 @@
     server.shares.note(now_, share, silence());
     if (share >= full_share) {
       server.short_since.reset();
+      server.news = true;
       return;
     }
     const bool train = server.short_since && now_ - server.last_short <= 2 * silence();
@@ -645,13 +631,11 @@
       if (may_rise(playback) && servers_[playback.server].news)
         wishes.emplace_back(-step_value(playback.request, playback.rung + 1), &playback);
     }
-    for (auto& server : servers_) server.news = false;
+    for (const auto& [value, playback] : wishes) servers_[playback->server].news = false;
     std::stable_sort(wishes.begin(), wishes.end(), [](auto& a, auto& b) { return a.first < b.first; });
     for (const auto& [value, playback] : wishes) {
       const int rung = rung_to_rise_to(*playback);
       if (rung <= playback->rung || !rise_pays(*playback, rung) || !drawn_to_rise(*playback, rung)) continue;
-      servers_[playback->server].added_kb +=
-          rate(playback->request, rung) - rate(playback->request, playback->rung);
       change_rung(*playback, rung);
     }
   }
@@ -856,7 +840,7 @@
   }
 
   bool just_heard(const Server& server) const {
-    return server.others.kb && now_ - server.others.heard_at <= fresh_report;
+    return server.others.kb && now_ - server.others.heard_at <= span_of(fresh_part * seconds(memory()));
   }
 
   // A number drawn from 0 up to 1.
@@ -871,9 +855,7 @@
     if (playback.tries > 0) further_.push_back(now_);
     ++playback.tries;
     ++server.setting_up;
-    starts_.add(now_, 1, first_life);
     server.last_set_up = now_;
-    server.added_kb += rate(request, rung);
     orders_.push_back(SetRung{request.playback, rung});
     orders_.push_back(SetUp{request.playback, id, time_limit(playback)});
   }
@@ -944,11 +926,12 @@
   // as far as probes are left, the oldest report first.
   void ask_where_playbacks_play() {
     if (!terms_.may_probe) return;
+    const Span old = memory() / 2;
     Server* oldest = nullptr;
     ServerId oldest_id = 0;
     for (const auto& [id, playback] : playbacks_) {
       auto& server = servers_[playback.server];
-      if (!may_rise(playback) || now_ - server.asked_at < rise_spacing * terms_.switch_cost) continue;
+      if (!may_rise(playback) || now_ - std::max(server.asked_at, server.others.heard_at) < old) continue;
       if (oldest && oldest->others.heard_at <= server.others.heard_at) continue;
       oldest = &server;
       oldest_id = playback.server;
@@ -986,14 +969,12 @@
   std::vector<std::vector<ServerId>> cells_;  // the servers listed in each
   std::vector<Rack> racks_;
   double mean_streams_ = 0;  // of a listed server
-  int listed_ = 0;
   std::map<PlaybackId, Playback> playbacks_;
   std::deque<Span> taken_;
   std::deque<Span> further_;
   double probes_due_ = 0;
   UsualFill usual_link_;
   UsualFill usual_uplink_;
-  FadingSum starts_;
   FadingSum lives_;
   FadingSum lives_known_;
 };
--- a/tests/scenario_runner.cpp
+++ b/tests/scenario_runner.cpp
@@ -80,6 +80,7 @@
   terms.may_probe = named.has("probe_price");
   terms.probe_price = named.number("probe_price");
   terms.list_on_request = named.has("ask");
+  terms.crossing_price = named.number("crossing");
   return terms;
 }
 
@@ -215,7 +216,7 @@
     return Note{first(), on, about, value};
   }
 
-  // Entries like 2, 2:gone, 2:draining or 2:started=900; a server's cell is its number.
+  // Entries like 2, 2:gone, 2:draining, 2:started=900 or 2:hall=1; a server's cell is its number.
   ServerList list(const Words& words) const {
     ServerList list;
     list.reach = words.front() == "servers"   ? ServerList::Reach::complete
@@ -229,6 +230,7 @@
       entry.cell = static_cast<int>(entry.server);
       if (mark == "gone") entry.standing = Standing::gone;
       if (mark == "draining") entry.standing = Standing::draining;
+      if (mark.starts_with("hall=")) entry.hall = std::stoi(mark.substr(5));
       if (mark.starts_with("started=")) entry.started = Span(std::stoll(mark.substr(8)) * 1000);
       list.entries.push_back(entry);
     }
