--- a/tests/scenario_runner.cpp
+++ b/tests/scenario_runner.cpp
@@ -129,6 +129,8 @@
       assert(count(rest(words, 1)) == 0);
     else if (what == "count")
       assert(count(rest(words, 2)) == std::stoi(words.at(1)));
+    else if (what == "stall")
+      now_ += Span(std::stoll(words.at(1)) * 1000);
     else if (what == "pass")
       pass(Span(std::stoll(words.at(1)) * 1000));
     else
