--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -842,8 +842,9 @@
   }
 
   bool just_heard(const Server& server) const {
-    return server.others.kb && now_ - server.others.heard_at <= span_of(fresh_part * seconds(memory()));
+    return server.others.kb && now_ - server.others.heard_at <= fresh();
   }
+  Span fresh() const { return span_of(fresh_part * seconds(memory())); }
 
   // A number drawn from 0 up to 1.
   double draw() { return std::uniform_real_distribution<>()(chance_); }
@@ -928,12 +929,11 @@
   // as far as probes are left, the oldest report first.
   void ask_where_playbacks_play() {
     if (!terms_.may_probe) return;
-    const Span old = memory() / 2;
     Server* oldest = nullptr;
     ServerId oldest_id = 0;
     for (const auto& [id, playback] : playbacks_) {
       auto& server = servers_[playback.server];
-      if (!may_rise(playback) || now_ - std::max(server.asked_at, server.others.heard_at) < old) continue;
+      if (!may_rise(playback) || now_ - std::max(server.asked_at, server.others.heard_at) < fresh()) continue;
       if (oldest && oldest->others.heard_at <= server.others.heard_at) continue;
       oldest = &server;
       oldest_id = playback.server;
