--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -782,15 +782,17 @@
     if (!may_try(playback)) return give_up(playback);
     const auto& request = playback.request;
     const auto open = open_holders(request);
-    for (int rung = top_of(request); rung >= floor_of(request); --rung) {
-      const auto id = choose(open, rate(request, rung), filled_for(request, rung));
-      if (!id) continue;
-      if (worth_asking(playback, servers_[*id])) return ask(playback, *id);
-      return send(playback, *id, rung);
-    }
-    if (const auto id = stalest_of(open); id && may_ask(playback, servers_[*id]))
-      return ask(playback, *id);
-    give_up(playback);
+    std::optional<ServerId> best;
+    int rung = top_of(request);
+    for (; !best && rung >= floor_of(request); --rung)
+      best = choose(open, rate(request, rung), filled_for(request, rung));
+    ++rung;
+    // A holder just heard of that fits the top rung is good enough; else the others are asked first.
+    const bool sure = best && rung == top_of(request) && just_heard(servers_[*best]);
+    const auto stalest = stalest_of(open);
+    if (!sure && stalest && may_ask(playback, servers_[*stalest]) && (!best || probes_due_ >= 1))
+      return ask(playback, *stalest);
+    best ? send(playback, *best, rung) : give_up(playback);
   }
 
   template <typename Which>
@@ -915,10 +917,6 @@
 
   // Old knowledge of the server chosen is renewed before the set-up, where price and startup target
   // allow.
-  bool worth_asking(const Playback& playback, const Server& server) const {
-    return probes_due_ >= 1 && may_ask(playback, server);
-  }
-
   bool may_ask(const Playback& playback, const Server& server) const {
     if (!terms_.may_probe || probes_due_ < -most_probes_due || playback.probes >= most_probes) return false;
     if (playback.target_at - now_ < 2 * tick) return false;
@@ -945,10 +943,15 @@
   }
 
   // Guards against turning viewers away for room that has since come free.
-  std::optional<ServerId> stalest_of(const std::vector<ServerId>& open) const {
+  std::optional<ServerId> stalest_of(const std::vector<ServerId>& open) {
     std::optional<ServerId> stalest;
+    int alike = 0;
     for (const auto id : open) {
-      if (!stalest || servers_[id].others.heard_at < servers_[*stalest].others.heard_at) stalest = id;
+      const auto heard = servers_[id].others.heard_at;
+      const auto least = stalest ? servers_[*stalest].others.heard_at : Span::max();
+      if (heard > least) continue;
+      alike = heard < least ? 1 : alike + 1;
+      if (alike == 1 || draw() * alike < 1) stalest = id;
     }
     return stalest;
   }
