--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -790,7 +790,7 @@
     // A holder just heard of that fits the top rung is good enough; else the others are asked first.
     const bool sure = best && rung == top_of(request) && just_heard(servers_[*best]);
     const auto stalest = stalest_of(open);
-    if (!sure && stalest && may_ask(playback, servers_[*stalest]) && (!best || probes_due_ >= 1))
+    if (!sure && stalest && may_ask(playback, servers_[*stalest]))
       return ask(playback, *stalest);
     best ? send(playback, *best, rung) : give_up(playback);
   }
@@ -918,7 +918,7 @@
   // Old knowledge of the server chosen is renewed before the set-up, where price and startup target
   // allow.
   bool may_ask(const Playback& playback, const Server& server) const {
-    if (!terms_.may_probe || probes_due_ < -most_probes_due || playback.probes >= most_probes) return false;
+    if (!terms_.may_probe || probes_due_ < 1 || playback.probes >= most_probes) return false;
     if (playback.target_at - now_ < 2 * tick) return false;
     return !just_heard(server);
   }
@@ -947,10 +947,10 @@
     std::optional<ServerId> stalest;
     int alike = 0;
     for (const auto id : open) {
-      const auto heard = servers_[id].others.heard_at;
-      const auto least = stalest ? servers_[*stalest].others.heard_at : Span::max();
-      if (heard > least) continue;
-      alike = heard < least ? 1 : alike + 1;
+      if (just_heard(servers_[id])) continue;
+      const auto place = [&](ServerId at) { return std::pair(crosses(servers_[at]), servers_[at].others.heard_at); };
+      if (stalest && place(id) > place(*stalest)) continue;
+      alike = !stalest || place(id) < place(*stalest) ? 1 : alike + 1;
       if (alike == 1 || draw() * alike < 1) stalest = id;
     }
     return stalest;
