--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -59,7 +59,11 @@
   return static_cast<std::size_t>((place % most + most) % most);
 }
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
-Span span_of(double seconds) { return Span(static_cast<std::int64_t>(seconds * 1e6)); }
+// Bounded, as nonsensical settings can make a span endless.
+Span span_of(double seconds) {
+  constexpr double most = 1e9;
+  return Span(static_cast<std::int64_t>((seconds < most ? std::max(seconds, -most) : most) * 1e6));
+}
 
 template <typename... Visitors>
 struct Overloaded : Visitors... {
@@ -227,6 +231,14 @@
  public:
   Mind(SiteTerms terms, std::uint64_t seed) : terms_(std::move(terms)) {
     chance_.seed(static_cast<std::minstd_rand::result_type>(seed % std::minstd_rand::modulus));
+    // Absent or nonsensical settings still give one of each, and floors on the ladder.
+    if (terms_.rung_kb.empty()) terms_.rung_kb = {1};
+    if (terms_.plans.empty()) terms_.plans.emplace_back();
+    const int last = static_cast<int>(terms_.rung_kb.size()) - 1;
+    for (auto& plan : terms_.plans) plan.floor = std::clamp(plan.floor, 0, last);
+    terms_.rung_revenue.resize(terms_.rung_kb.size(), 1);
+    terms_.fronts = std::max(1, terms_.fronts);
+    terms_.cells = std::max(1, terms_.cells);
     racks_.resize(static_cast<std::size_t>(std::max(1, terms_.racks)));
   }
 
@@ -257,7 +269,7 @@
     probes_due_ = std::min(probes_due_ + probes_per_playback(), most_probes_due);
     auto& playback = admit(request);
     // Guards against holding a viewer who leaves before the startup target.
-    playback.target_at = std::min(now_ + terms_.plans.at(request.plan).startup_target, request.abandon_at);
+    playback.target_at = std::min(now_ + terms_.plans.at(playback.request.plan).startup_target, request.abandon_at);
     place(playback);
   }
 
@@ -307,7 +319,7 @@
     const auto found = playbacks_.find(note.playback);
     switch (note.about) {
       case Note::About::rung:
-        if (found != playbacks_.end()) set_held_rung(found->second, static_cast<int>(note.value));
+        if (found != playbacks_.end()) set_held_rung(found->second, on_ladder(note.value));
         return;
       case Note::About::link_fill:
         return take_report(note.server, {note.value, {}, {}});
@@ -410,7 +422,7 @@
     if (load.link_fill) {
       const double others = *load.link_fill * link_of(server) - server.own_kb;
       server.others.hear(others, now_, memory());
-      usual_link_.hear(std::max(0.0, others) / link_of(server), now_, memory());
+      if (link_of(server) > 0) usual_link_.hear(std::max(0.0, others) / link_of(server), now_, memory());
       server.news = true;
     }
     // The first window leaves out the streams in use, this front's own aside.
@@ -418,7 +430,7 @@
       const double free = streams_of(server) - *load.streams;
       server.window.open_at(std::max(1.0, server.held + free), now_);
     }
-    if (load.uplink_fill) {
+    if (load.uplink_fill && terms_.uplink_kb > 0) {
       auto& rack = rack_of(server);
       const double others = *load.uplink_fill * terms_.uplink_kb - own_in(rack);
       rack.others.hear(others, now_, memory());
@@ -546,7 +558,11 @@
     const auto& plan = terms_.plans[request.plan];
     const double below = rung > 0 ? terms_.rung_revenue.at(rung - 1) : 0;
     const double kb_below = rung > 0 ? rate(request, rung - 1) : 0;
-    return plan.revenue * (terms_.rung_revenue.at(rung) - below) / (rate(request, rung) - kb_below);
+    const double more_kb = std::max(1e-9, rate(request, rung) - kb_below);
+    return std::max(0.0, plan.revenue * (terms_.rung_revenue.at(rung) - below) / more_kb);
+  }
+  int on_ladder(double rung) const {
+    return static_cast<int>(std::clamp(rung, 0.0, static_cast<double>(terms_.rung_kb.size() - 1)));
   }
   int floor_of(const Request& request) const { return terms_.plans[request.plan].floor; }
   int top_of(const Request& request) const {
@@ -611,7 +627,7 @@
     for (int step = 0; step < static_cast<int>(terms_.rung_kb.size()); ++step)
       best = std::max(best, step_value(request, step));
     const double reserve = terms_.may_probe ? reserve_asked : reserve_told;
-    return filled_by_start * std::pow(step_value(request, rung) / best, reserve);
+    return best > 0 ? filled_by_start * std::pow(step_value(request, rung) / best, reserve) : 0;
   }
 
   Span usual_life() {
@@ -686,7 +702,8 @@
   Playback& admit(const Request& request) {
     auto& playback = playbacks_[request.playback];
     playback.request = request;
-    playback.rung = floor_of(request);
+    playback.request.plan = std::clamp(request.plan, 0, static_cast<int>(terms_.plans.size()) - 1);
+    playback.rung = floor_of(playback.request);
     playback.since = now_;
     if (request.length) learn_life(*request.length);
     if (request.length) playback.ends_at = now_ + *request.length;
