Spend on probes a part of what requests earn, not of what they ask for

The budget now goes with the revenue that requests of late were placed at, nothing for rejected ones.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -42,7 +42,8 @@
 constexpr double rise_spacing = 10;       // a playback's rises lie so many switch costs apart at least
 constexpr double rise_payoff = 8;         // a rise earns so many times its price
 constexpr double pace_kept = 0.8;         // part of this front's even part of a cold server's pace
-constexpr double probe_spending = 0.02;  // part of the revenue that probes may cost
+constexpr double earned_weight = 0.1;
+constexpr double probe_spending = 0.03;  // part of the revenue that probes may cost
 constexpr int most_probes = 2;            // before one set-up
 constexpr double fresh_part = 0.25;       // of a report's memory: so long it needs no probe
 constexpr double most_probes_due = 4;
@@ -872,6 +873,7 @@
     const auto& request = playback.request;
     auto& server = servers_[id];
     playback.rung = rung;
+    earned_ += earned_weight * (terms_.rung_revenue.at(rung) - earned_);
     attach(playback, id);
     playback.state = Playback::State::setting_up;
     if (playback.tries > 0) further_.push_back(now_);
@@ -891,6 +893,7 @@
   }
 
   void give_up(Playback& playback) {
+    earned_ -= earned_weight * earned_;
     const auto id = playback.request.playback;
     const auto come_back = span_of(come_back_part * seconds(terms_.longest_come_back));
     if (terms_.plans[playback.request.plan].pay_at_setup && playback.may_have_run)
@@ -929,7 +932,7 @@
   // ---- probes ----
   double probes_per_playback() const {
     if (!terms_.may_probe) return 0;
-    return terms_.probe_price > 0 ? std::min(2.0, probe_spending / terms_.probe_price) : 2.0;
+    return terms_.probe_price > 0 ? std::min(2.0, probe_spending * earned_ / terms_.probe_price) : 2.0;
   }
 
   // Old knowledge of the server chosen is renewed before the set-up, where price and startup target
@@ -996,6 +999,7 @@
   std::deque<Span> taken_;
   std::deque<Span> further_;
   double probes_due_ = 0;
+  double earned_ = 1;  // of its top rung's revenue, by a request of late
   UsualFill usual_link_;
   UsualFill usual_uplink_;
   FadingSum lives_;
