--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -28,22 +28,22 @@
 constexpr double spread_tie = 0.1;
 constexpr double room_tie = 0.05;  // of a link
 
-// Parts of a link that room may fill: true rates leave the ladder, and newcomers need some.
-constexpr double filled_by_floor = 0.95;  // by a playback that can play no lower
-constexpr double filled_by_start = 0.95;   // by one that starts above its floor
-constexpr double reserve_asked = 0.25;    // how steeply that falls with what a step earns, where a front may
-constexpr double reserve_told = 0.4;     // ask before it fills room, and where it hears what all hear
-constexpr double unheard_fill = 0.85;      // of a link, by the others, before any report
+// The part of a link that floors and the best step may fill: true rates leave the ladder.
+constexpr double filled_most = 0.95;
+// How steeply that falls with what a step earns, so that some stays free for those who come later: where
+// a front may ask before it fills room, and where it hears only what all hear.
+constexpr double reserve_asked = 0.25;
+constexpr double reserve_told = 0.4;
+constexpr double unheard_fill = 0.85;     // of a link, by the others, before any report
 constexpr double share_memory = 6;        // the share's mean reaches back so many note lags
 constexpr double uplink_memory = 10;      // likewise what an uplink was seen to give
 constexpr int report_memory = 10;         // a report is trusted so many note spacings
-constexpr double caution = 0.7;             // deviations by which a server without reports counts as fuller
-constexpr double report_weight = 0.7;     // what a new report counts against the older ones
+constexpr double caution = 0.7;           // deviations by which a server without reports counts as fuller
 constexpr double rise_spacing = 10;       // a playback's rises lie so many switch costs apart at least
 constexpr double rise_payoff = 8;         // a rise earns so many times its price
 constexpr double pace_kept = 0.8;         // part of this front's even part of a cold server's pace
-constexpr double earned_weight = 0.1;
-constexpr double probe_spending = 0.03;  // part of the revenue that probes may cost
+constexpr double earned_weight = 0.1;     // of the latest request in what requests earn
+constexpr double probe_spending = 0.03;   // part of the revenue that probes may cost
 constexpr int most_probes = 2;            // before one set-up
 constexpr double fresh_part = 0.25;       // of a report's memory: so long it needs no probe
 constexpr double most_probes_due = 4;
@@ -127,9 +127,8 @@
   std::optional<double> kb;
   Span heard_at = -24h;
 
-  void hear(double heard, Span now, Span memory) {
-    const double kept = (1 - report_weight) * trust(now, memory);
-    kb = kept * kb.value_or(0) + (1 - kept) * heard;
+  void hear(double heard, Span now) {
+    kb = heard;
     heard_at = now;
   }
   double trust(Span now, Span memory) const {
@@ -270,7 +269,8 @@
     probes_due_ = std::min(probes_due_ + probes_per_playback(), most_probes_due);
     auto& playback = admit(request);
     // Guards against holding a viewer who leaves before the startup target.
-    playback.target_at = std::min(now_ + terms_.plans.at(playback.request.plan).startup_target, request.abandon_at);
+    const Span target = terms_.plans.at(playback.request.plan).startup_target;
+    playback.target_at = std::min(now_ + target, request.abandon_at);
     place(playback);
   }
 
@@ -412,17 +412,14 @@
     return mean_streams_ > 0 ? terms_.link_kb_per_weight * streams_of(server) / mean_streams_ : 0;
   }
 
-  std::size_t rack_index(const Server& server) const {
-    return wrapped(server.cell, racks_.size());
-  }
-  Rack& rack_of(const Server& server) { return racks_[rack_index(server)]; }
+  Rack& rack_of(const Server& server) { return racks_[wrapped(server.cell, racks_.size())]; }
 
   // A report names the whole fill; what this front doesn't ask itself is the others'.
   void take_report(ServerId id, const LoadReport& load) {
     auto& server = server_at(id);
     if (load.link_fill) {
       const double others = *load.link_fill * link_of(server) - server.own_kb;
-      server.others.hear(others, now_, memory());
+      server.others.hear(others, now_);
       if (link_of(server) > 0) usual_link_.hear(std::max(0.0, others) / link_of(server), now_, memory());
       server.news = true;
     }
@@ -434,7 +431,7 @@
     if (load.uplink_fill && terms_.uplink_kb > 0) {
       auto& rack = rack_of(server);
       const double others = *load.uplink_fill * terms_.uplink_kb - own_in(rack);
-      rack.others.hear(others, now_, memory());
+      rack.others.hear(others, now_);
       usual_uplink_.hear(std::max(0.0, others) / terms_.uplink_kb, now_, memory());
     }
   }
@@ -460,8 +457,7 @@
 
   Span silence() const { return std::max<Span>(terms_.note_lag, 500ms) + 500ms; }
 
-  // The page's room: told link times mean share, less own rungs and the others' use. Where others have
-  // not reported, they are left their even part of the link.
+  // The page's room: told link times mean share, less own rungs and the others' use.
   double room(Server& server, double filled) {
     const double link = link_of(server) * filled * server.shares.mean(now_, silence());
     const double rest = link - server.own_kb;
@@ -539,7 +535,7 @@
   void drop_rungs(Server& server, double share) {
     if (server.last_drop && now_ - *server.last_drop < terms_.note_lag + silence()) return;
     server.last_drop = now_;
-    double needed = server.own_kb * (1 - filled_by_start * share);
+    double needed = server.own_kb * (1 - filled_most * share);
     while (needed > 0) {
       const auto step = cheapest_step(server);
       if (!step.playback) return;
@@ -623,12 +619,12 @@
   // How far a link may be filled for this rung: the less its last step earns for each kB, beside the
   // ladder's best, the more stays free for those who come later.
   double filled_for(const Request& request, int rung) const {
-    if (rung <= floor_of(request)) return filled_by_floor;
+    if (rung <= floor_of(request)) return filled_most;
     double best = 0;
     for (int step = 0; step < static_cast<int>(terms_.rung_kb.size()); ++step)
       best = std::max(best, step_value(request, step));
     const double reserve = terms_.may_probe ? reserve_asked : reserve_told;
-    return best > 0 ? filled_by_start * std::pow(step_value(request, rung) / best, reserve) : 0;
+    return best > 0 ? filled_most * std::pow(step_value(request, rung) / best, reserve) : 0;
   }
 
   Span usual_life() {
@@ -643,7 +639,7 @@
   }
 
   // Playbacks whose next step earns most rise first, each to the highest rung that room fits: a switch
-  // costs the same over one rung or several. Other fronts hear of the same room, so each takes a part.
+  // costs the same over one rung or several. Between news of room nothing is known that was not weighed.
   void rise() {
     std::vector<std::pair<double, Playback*>> wishes;
     for (auto& [id, playback] : playbacks_) {
@@ -910,7 +906,7 @@
     if (!proof) playback.may_have_run = true;
     if (outcome == Outcome::reset || outcome == Outcome::no_connection || outcome == Outcome::late)
       strike(server);
-    if (outcome == Outcome::full) server.others.hear(link_of(server) - server.own_kb, now_, memory());
+    if (outcome == Outcome::full) server.others.hear(link_of(server) - server.own_kb, now_);
   }
 
   // Silence, a reset or a refused connection: rest, then one single try at a time until one starts.
@@ -968,9 +964,11 @@
     int alike = 0;
     for (const auto id : open) {
       if (just_heard(servers_[id])) continue;
-      const auto place = [&](ServerId at) { return std::pair(crosses(servers_[at]), servers_[at].others.heard_at); };
-      if (stalest && place(id) > place(*stalest)) continue;
-      alike = !stalest || place(id) < place(*stalest) ? 1 : alike + 1;
+      const auto rank = [&](ServerId of) {
+        return std::pair(crosses(servers_[of]), servers_[of].others.heard_at);
+      };
+      if (stalest && rank(id) > rank(*stalest)) continue;
+      alike = !stalest || rank(id) < rank(*stalest) ? 1 : alike + 1;
       if (alike == 1 || draw() * alike < 1) stalest = id;
     }
     return stalest;
