--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -220,6 +220,8 @@
 
 struct Rack {
   std::vector<ServerId> servers;
+  std::optional<Span> reckoned_at;  // when asked_kb was, if nothing has changed since
+  double asked_kb = 0;
   OthersUse others;               // from reports of the uplink, where there are any
   std::optional<double> gave_kb;  // what an uplink without reports was last seen to give when short
   Span gave_at{0};
@@ -360,7 +362,7 @@
   // Sorts the listed servers by cell and rack, so that a request costs about its holders.
   void arrange() {
     cells_.assign(static_cast<std::size_t>(terms_.cells), {});
-    for (auto& rack : racks_) rack.servers.clear();
+    for (auto& rack : racks_) rack.servers.clear(), rack.reckoned_at.reset();
     double streams = 0;
     int count = 0;
     for (ServerId id = 0; id < servers_.size(); ++id) {
@@ -417,6 +419,7 @@
   // A report names the whole fill; what this front doesn't ask itself is the others'.
   void take_report(ServerId id, const LoadReport& load) {
     auto& server = server_at(id);
+    rack_of(server).reckoned_at.reset();
     if (load.link_fill) {
       const double others = *load.link_fill * link_of(server) - server.own_kb;
       server.others.hear(others, now_);
@@ -464,22 +467,24 @@
     return std::min(rest - others_of(server.others, link, usual_link_), room_in(rack_of(server), filled));
   }
 
-  double room_in(const Rack& rack, double filled) {
+  double room_in(Rack& rack, double filled) {
     if (terms_.uplink_kb <= 0) return std::numeric_limits<double>::max();
     const double uplink = uplink_of(rack) * filled;
     if (!rack.others.kb) return uplink - asked_of(rack);
     return uplink - own_in(rack) - others_of(rack.others, uplink, usual_uplink_);
   }
 
-  // What servers' reports tell of all that is asked of a rack.
-  double asked_of(const Rack& rack) {
-    double asked = 0;
+  // What servers' reports tell of all that is asked of a rack. Kept for one moment, as a crowd of
+  // requests at once would else walk whole racks for each holder of each.
+  double asked_of(Rack& rack) {
+    if (rack.reckoned_at == now_) return rack.asked_kb;
+    rack.reckoned_at = now_;
+    rack.asked_kb = 0;
     for (const auto id : rack.servers) {
       const auto& server = servers_[id];
-      if (server.standing == Standing::ready)
-        asked += server.own_kb + others_on(server);
+      if (server.standing == Standing::ready) rack.asked_kb += server.own_kb + others_on(server);
     }
-    return asked;
+    return rack.asked_kb;
   }
 
   // The told uplink, or what it was seen to give, trusted less as that grows old.
@@ -569,7 +574,7 @@
 
   void set_held_rung(Playback& playback, int rung) {
     auto& server = servers_[playback.server];
-    server.own_kb += rate(playback.request, rung) - rate(playback.request, playback.rung);
+    ask_more(server, rate(playback.request, rung) - rate(playback.request, playback.rung));
     playback.rung = rung;
   }
 
@@ -707,17 +712,25 @@
     return playback;
   }
 
+  void ask_more(Server& server, double kb) {
+    server.own_kb += kb;
+    rack_of(server).reckoned_at.reset();
+  }
+
   void attach(Playback& playback, ServerId id) {
     auto& server = server_at(id);
     playback.server = id;
-    server.own_kb += rate(playback.request, playback.rung);
+    ++seated_[{playback.request.plan, playback.request.title}];
+    ask_more(server, rate(playback.request, playback.rung));
     ++server.held;
   }
 
   void detach(Playback& playback) {
     if (playback.state == Playback::State::waiting) return;
     auto& server = servers_[playback.server];
-    server.own_kb -= rate(playback.request, playback.rung);
+    const std::pair seat(playback.request.plan, playback.request.title);
+    if (--seated_[seat] == 0) seated_.erase(seat);
+    ask_more(server, -rate(playback.request, playback.rung));
     if (--server.held == 0) server.own_kb = 0;
     if (playback.state == Playback::State::setting_up) --server.setting_up;
     playback.state = Playback::State::waiting;
@@ -768,11 +781,8 @@
   bool has_seat(const Request& request) const {
     const int seats = terms_.plans[request.plan].seats;
     if (seats <= 0) return true;
-    return seats > std::count_if(playbacks_.begin(), playbacks_.end(), [&](const auto& held) {
-             const auto& other = held.second;
-             return other.state != Playback::State::waiting && other.request.plan == request.plan &&
-                    other.request.title == request.title;
-           });
+    const auto taken = seated_.find({request.plan, request.title});
+    return taken == seated_.end() || taken->second < seats;
   }
 
   // Tries beyond the first, this one too, stay within the free few and the share of playbacks taken.
@@ -994,6 +1004,7 @@
   std::vector<Rack> racks_;
   double mean_streams_ = 0;  // of a listed server
   std::map<PlaybackId, Playback> playbacks_;
+  std::map<std::pair<int, TitleId>, int> seated_;  // playbacks of a plan and title, set-ups included
   std::deque<Span> taken_;
   std::deque<Span> further_;
   double probes_due_ = 0;
