--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# `make day` plays a whole bad day on loopback; `make test` runs every test. Both set up a fresh machine.
+BUILD := build/full
+PACKAGES := $(shell sed 's/\#.*//' deploy/packages.txt)
+AS_ROOT := $(shell [ "$$(id -u)" = 0 ] || echo sudo)
+JOBS := $(shell nproc)
+
+.PHONY: setup program adapter day test bench
+setup:
+	@dpkg-query -W -f='$${Status}\n' $(PACKAGES) 2>/dev/null | grep -c 'install ok installed' | grep -qx $(words $(PACKAGES)) || \
+	  { $(AS_ROOT) apt-get update -q && $(AS_ROOT) env DEBIAN_FRONTEND=noninteractive apt-get install -y -q --no-install-recommends $(PACKAGES); }
+
+program: setup
+	cmake -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
+	cmake --build $(BUILD) -j$(JOBS)
+
+# As the operators' bench builds it: no packages, the adapter alone.
+adapter:
+	cmake -S . -B build -DCMAKE_BUILD_TYPE=Release -DVIOLETTIDE_PROGRAM=OFF
+	cmake --build build -j$(JOBS)
+
+day: program
+	$(BUILD)/violettide day days/bad-day.star
+
+test: adapter program
+	ctest --test-dir build --output-on-failure -j$(JOBS)
+	ctest --test-dir $(BUILD) --output-on-failure -j$(JOBS)
+
+bench: program
+	$(BUILD)/bench/violettide_bench
--- /dev/null
+++ b/src/cli/commands.h
@@ -0,0 +1,40 @@
+// What each sub-command is given, and what it does. Each returns the process's exit code: 0 done, 1 the
+// answer is no (a rule broke, a script has mistakes), 2 it could not be run.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace violettide::cli {
+
+struct ServeWords {
+  std::string settings, name, hall, keep_in, log, ports_to;
+  std::optional<std::uint16_t> port, list_port;
+  std::optional<int> fronts;
+  std::uint64_t seed = 1;
+};
+int run_serve(const ServeWords& words);
+
+struct StandinWords {
+  std::string day, folder, ports_to;
+  std::uint64_t zero_us = 0;  // 0: now
+  std::vector<std::string> managers;
+};
+int run_boxes(const StandinWords& words);
+int run_viewers(const StandinWords& words);
+
+struct DayWords {
+  std::string day, folder;
+};
+int run_day(const DayWords& words);
+
+struct AuditWords {
+  std::string day;
+  std::vector<std::string> traces;
+};
+int run_audit(const AuditWords& words);
+int run_check(const std::string& file);
+
+}  // namespace violettide::cli
--- /dev/null
+++ b/src/cli/day.cpp
@@ -0,0 +1,295 @@
+// Plays a day: starts the boxes, the managers and the viewers in processes of their own, kills, starts and
+// stops managers as the script says, and audits what passed.
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <thread>
+
+#include "audit/audit.h"
+#include "cli/commands.h"
+#include "runtime/runtime.h"
+#include "standins/day.h"
+
+extern char** environ;
+
+namespace violettide::cli {
+
+namespace {
+
+using namespace std::chrono_literals;
+constexpr auto start_limit = 10s;
+constexpr auto stop_limit = 10s;
+constexpr auto look_every = 10ms;  // at children and files, where the system gives no event to wait for
+
+struct Unplayable {
+  std::string what;
+};
+
+// A child process of ours, ended with us.
+class Child {
+ public:
+  Child() = default;
+  Child(std::vector<std::string> words, const std::string& errors_to) {
+    std::vector<char*> pointers;
+    for (auto& word : words) pointers.push_back(word.data());
+    pointers.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errors_to.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int code = posix_spawn(&pid_, "/proc/self/exe", &actions, nullptr, pointers.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (code) throw Unplayable{"can't start '" + words[1] + "': " + std::strerror(code)};
+  }
+  Child(Child&& other) noexcept : pid_(std::exchange(other.pid_, 0)) {}
+  Child& operator=(Child&& other) noexcept {
+    std::swap(pid_, other.pid_);
+    return *this;
+  }
+  ~Child() {
+    if (pid_ <= 0) return;
+    kill(pid_, SIGCONT);
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+  void signal(int number) const {
+    if (pid_ > 0) kill(pid_, number);
+  }
+  void end_at_once() {
+    if (pid_ <= 0) return;
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+    pid_ = 0;
+  }
+  // Its exit code, or 128 and the signal, once it has ended.
+  std::optional<int> ended() {
+    if (pid_ <= 0) return 0;
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
+    pid_ = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  }
+  std::optional<int> wait(std::chrono::steady_clock::duration limit) {
+    const auto until = std::chrono::steady_clock::now() + limit;
+    for (;;) {
+      if (const auto code = ended()) return code;
+      if (std::chrono::steady_clock::now() >= until) return std::nullopt;
+      std::this_thread::sleep_for(look_every);
+    }
+  }
+
+ private:
+  pid_t pid_ = 0;
+};
+
+std::vector<std::uint16_t> ports_in(const std::string& path, Child& writer) {
+  const auto until = std::chrono::steady_clock::now() + start_limit;
+  for (;;) {
+    if (std::ifstream file(path); file) {
+      std::vector<std::uint16_t> ports;
+      for (int port = 0; file >> port;) ports.push_back(static_cast<std::uint16_t>(port));
+      if (!ports.empty()) return ports;
+    }
+    if (const auto code = writer.ended()) throw Unplayable{path + ": its process ended with " + std::to_string(*code)};
+    if (std::chrono::steady_clock::now() >= until) throw Unplayable{path + ": nothing listens there after 10 s"};
+    std::this_thread::sleep_for(look_every);
+  }
+}
+
+class Played {
+ public:
+  Played(const DayWords& words, const standins::Day& day, std::string folder) : words_(words), day_(day), folder_(std::move(folder)), trace_(folder_ + "/day.trace") {}
+
+  void run() {
+    const auto zero = runtime::Loop::machine_clock_us() + 1'500'000;  // for everybody to have started
+    const auto zero_text = std::to_string(zero);
+    Child boxes({"violettide", "boxes", words_.day, "--folder", folder_, "--zero-us", zero_text, "--ports-to", folder_ + "/boxes.ports"}, folder_ + "/boxes.err");
+    list_port_ = ports_in(folder_ + "/boxes.ports", boxes).back();
+    managers_.resize(static_cast<std::size_t>(day_.managers));
+    ports_.resize(managers_.size());
+    for (int i = 0; i < day_.managers; ++i) {
+      start(i);
+      ports_[i] = ports_in(port_file(i), managers_[i]).front();
+    }
+    std::vector<std::string> watch{"violettide", "viewers", words_.day, "--folder", folder_, "--zero-us", zero_text};
+    for (int i = 0; i < day_.managers; ++i) {
+      watch.push_back("--manager");
+      watch.push_back(name(i) + ":" + hall(i) + ":" + std::to_string(ports_[i]));
+    }
+    Child viewers(watch, folder_ + "/viewers.err");
+    std::vector<Deed> deeds = script();
+    std::size_t next = 0;
+    Span longest{0};
+    for (const auto& plan : day_.deployment.front.plans) longest = std::max(longest, plan.abandon);
+    const auto give_up = zero + static_cast<std::uint64_t>((day_.length + 4 * longest).count()) + 10'000'000;
+    std::optional<int> over;
+    while (!(over = viewers.ended())) {
+      const auto now = runtime::Loop::machine_clock_us();
+      while (next < deeds.size() && zero + static_cast<std::uint64_t>(deeds[next].at.count()) <= now) perform(deeds[next++]);
+      for (std::size_t i = 0; i < managers_.size(); ++i) {
+        if (down_[static_cast<int>(i)]) continue;
+        if (const auto code = managers_[i].ended()) throw Unplayable{name(static_cast<int>(i)) + " ended by itself with " + std::to_string(*code) + ": see " + folder_};
+      }
+      if (now > give_up) throw Unplayable{"the viewers did not end"};
+      std::this_thread::sleep_for(look_every);
+    }
+    if (*over != 0) throw Unplayable{"the viewers ended with " + std::to_string(*over) + ": see " + folder_};
+    for (auto& manager : managers_) manager.signal(SIGCONT), manager.signal(SIGTERM);
+    for (std::size_t i = 0; i < managers_.size(); ++i) {
+      const auto code = managers_[i].wait(stop_limit);
+      if (!code || *code != 0) throw Unplayable{name(static_cast<int>(i)) + (code ? " ended with " + std::to_string(*code) : std::string(" did not stop when asked"))};
+    }
+    boxes.signal(SIGTERM);
+    const auto code = boxes.wait(stop_limit);
+    if (!code || *code != 0) throw Unplayable{"the boxes ended with " + (code ? std::to_string(*code) : std::string("nothing")) + ": see " + folder_};
+    trace_.flush();
+  }
+
+ private:
+  struct Deed {
+    Span at;
+    enum class What { kill, start, stop, go_on } what;
+    int manager;
+    double size = 0;
+  };
+  std::string name(int i) const { return "manager-" + std::to_string(i); }
+  std::string hall(int i) const { return day_.deployment.front.halls[static_cast<std::size_t>(i) % day_.deployment.front.halls.size()]; }
+  std::string port_file(int i) const { return folder_ + "/" + name(i) + ".port"; }
+
+  void start(int i) {
+    const auto keep = folder_ + "/" + name(i);
+    std::filesystem::create_directories(keep);
+    std::vector<std::string> words{"violettide", "serve", "--settings", words_.day, "--name", name(i), "--hall", hall(i), "--port", std::to_string(ports_[i]),
+                                   "--list-port", std::to_string(list_port_), "--fronts", std::to_string(day_.managers), "--keep-in", keep,
+                                   "--log", folder_ + "/" + name(i) + ".log", "--ports-to", port_file(i), "--seed", std::to_string(day_.seed * 100 + static_cast<std::uint32_t>(i))};
+    put(trace::Passed::STARTED, i);
+    managers_[i] = Child(words, folder_ + "/" + name(i) + ".err");
+    down_[i] = false;
+  }
+
+  std::vector<Deed> script() const {
+    std::vector<Deed> deeds;
+    for (const auto& trouble : day_.troubles) {
+      const auto count = static_cast<std::int64_t>(trouble.whom.size());
+      for (std::int64_t k = 0; k < count; ++k) {
+        const int whom = trouble.whom[static_cast<std::size_t>(k)];
+        if (trouble.ill == standins::Ill::roll) {
+          const Span at = trouble.at + trouble.lasts * k / count;
+          deeds.push_back({at, Deed::What::kill, whom});
+          deeds.push_back({at + Span(static_cast<std::int64_t>(trouble.size * 1e6)), Deed::What::start, whom});
+        } else if (trouble.ill == standins::Ill::stall) {
+          deeds.push_back({trouble.at, Deed::What::stop, whom, std::chrono::duration<double>(trouble.lasts).count()});
+          deeds.push_back({trouble.at + trouble.lasts, Deed::What::go_on, whom});
+        }
+      }
+    }
+    std::stable_sort(deeds.begin(), deeds.end(), [](auto& a, auto& b) { return a.at < b.at; });
+    return deeds;
+  }
+
+  void perform(const Deed& deed) {
+    switch (deed.what) {
+      case Deed::What::kill:
+        put(trace::Passed::KILLED, deed.manager);
+        managers_[deed.manager].end_at_once();
+        down_[deed.manager] = true;
+        return;
+      case Deed::What::start: return start(deed.manager);
+      case Deed::What::stop:
+        put(trace::Passed::STOOD_STILL, deed.manager, deed.size + 0.2);
+        return managers_[deed.manager].signal(SIGSTOP);
+      case Deed::What::go_on: return managers_[deed.manager].signal(SIGCONT);
+    }
+  }
+
+  void put(trace::Passed::Kind kind, int manager, double value = 0) {
+    trace::Passed record;
+    record.set_at_us(runtime::Loop::machine_clock_us());
+    record.set_kind(kind);
+    record.set_manager(name(manager));
+    record.set_value(value);
+    trace_.put(record);
+  }
+
+  const DayWords& words_;
+  const standins::Day& day_;
+  std::string folder_;
+  trace::Writer trace_;
+  std::uint16_t list_port_ = 0;
+  std::vector<Child> managers_;
+  std::vector<std::uint16_t> ports_;
+  std::map<int, bool> down_;
+};
+
+int audited(const standins::Day& day, const std::vector<std::string>& traces) {
+  std::vector<trace::Passed> records;
+  for (const auto& path : traces) {
+    auto read = trace::read(path);
+    if (read.cut_off) std::cerr << path << ": cut off after " << read.records.size() << " records\n";
+    records.insert(records.end(), read.records.begin(), read.records.end());
+  }
+  const auto verdict = audit::check(day, std::move(records));
+  std::cout << audit::table(verdict);
+  if (verdict.asks == 0) {
+    std::cout << "no playback was asked: nothing is proven\n";
+    return 1;
+  }
+  return verdict.kept() ? 0 : 1;
+}
+
+}  // namespace
+
+int run_day(const DayWords& words) {
+  auto read = standins::read_day(words.day);
+  if (const auto* mistakes = std::get_if<settings::Mistakes>(&read)) {
+    for (const auto& mistake : *mistakes) std::cerr << mistake.text() << '\n';
+    return 1;
+  }
+  const auto day = std::get<standins::Day>(std::move(read));
+  try {
+    auto folder = words.folder;
+    if (folder.empty()) {
+      auto pattern = (std::filesystem::temp_directory_path() / "violettide-day-XXXXXX").string();
+      if (!mkdtemp(pattern.data())) throw Unplayable{pattern + ": " + std::strerror(errno)};
+      folder = pattern;
+    }
+    std::filesystem::create_directories(folder);
+    std::cout << words.day << ": " << day.boxes.size() << " boxes, " << day.managers << " managers, "
+              << std::chrono::duration<double>(day.length).count() << " s, " << day.troubles.size() << " troubles; traces in " << folder << std::endl;
+    Played(words, day, folder).run();
+    return audited(day, {folder + "/viewers.trace", folder + "/boxes.trace", folder + "/day.trace"});
+  } catch (const Unplayable& failed) {
+    std::cerr << "violettide: " << failed.what << '\n';
+  } catch (const trace::Failed& failed) {
+    std::cerr << "violettide: " << failed.what << '\n';
+  } catch (const std::filesystem::filesystem_error& failed) {
+    std::cerr << "violettide: " << failed.what() << '\n';
+  }
+  return 2;
+}
+
+int run_audit(const AuditWords& words) {
+  auto read = standins::read_day(words.day);
+  if (const auto* mistakes = std::get_if<settings::Mistakes>(&read)) {
+    for (const auto& mistake : *mistakes) std::cerr << mistake.text() << '\n';
+    return 1;
+  }
+  try {
+    return audited(std::get<standins::Day>(read), words.traces);
+  } catch (const trace::Failed& failed) {
+    std::cerr << "violettide: " << failed.what << '\n';
+    return 2;
+  }
+}
+
+}  // namespace violettide::cli
--- /dev/null
+++ b/src/cli/services.cpp
@@ -0,0 +1,196 @@
+// The sub-commands that stand and serve: one core each, driven by the runtime.
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "cli/commands.h"
+#include "manager/manager.h"
+#include "runtime/runtime.h"
+#include "standins/fleet.h"
+#include "standins/viewers.h"
+
+namespace violettide::cli {
+
+namespace {
+
+int tell(const settings::Mistakes& mistakes) {
+  for (const auto& mistake : mistakes) std::cerr << mistake.text() << '\n';
+  std::cerr << mistakes.size() << (mistakes.size() == 1 ? " mistake\n" : " mistakes\n");
+  return 1;
+}
+
+// One JSON object a line: time, who, event, and the event's typed fields.
+std::function<void(Span, const Say&)> log_to(const std::string& file, const std::string& who) {
+  auto logger = file.empty() ? std::make_shared<spdlog::logger>(who, std::make_shared<spdlog::sinks::stderr_sink_mt>())
+                             : std::make_shared<spdlog::logger>(who, std::make_shared<spdlog::sinks::basic_file_sink_mt>(file));
+  logger->set_pattern("%v");
+  logger->flush_on(spdlog::level::warn);
+  return [logger, who](Span now, const Say& said) {
+    nlohmann::ordered_json line{{"t", static_cast<double>(now.count()) / 1e6}, {"who", who}, {"event", said.event}};
+    for (const auto& [name, value] : said.fields) std::visit([&](const auto& held) { line[name] = held; }, value);
+    logger->info(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  };
+}
+
+void write_ports(const std::string& path, const std::vector<std::uint16_t>& ports) {
+  if (path.empty()) return;
+  {
+    std::ofstream file(path + ".new");
+    for (const auto port : ports) file << port << '\n';
+  }
+  std::rename((path + ".new").c_str(), path.c_str());
+}
+
+Span into_day(std::uint64_t origin_us, std::uint64_t zero_us) {
+  if (zero_us == 0) return Span(0);
+  return Span(static_cast<std::int64_t>(origin_us) - static_cast<std::int64_t>(zero_us));
+}
+
+// Flushes a trace now and then, so that a reader finds it nearly whole at any time.
+class TraceFile {
+ public:
+  explicit TraceFile(const std::string& folder, const std::string& name) {
+    if (!folder.empty()) writer_ = std::make_unique<trace::Writer>(folder + "/" + name);
+  }
+  void put(const trace::Passed& record) {
+    if (!writer_) return;
+    writer_->put(record);
+    if (++count_ % 512 == 0) writer_->flush();
+  }
+
+ private:
+  std::unique_ptr<trace::Writer> writer_;
+  std::size_t count_ = 0;
+};
+
+// A core made after its loop, as it must know the ports that the loop bound.
+class Later : public Core {
+ public:
+  void handle(Span now, const Happening& what, std::vector<Act>& acts) override {
+    if (core) core->handle(now, what, acts);
+  }
+  std::unique_ptr<Core> core;
+};
+
+template <typename Run>
+int guarded(Run run) {
+  try {
+    return run();
+  } catch (const runtime::Failed& failed) {
+    std::cerr << "violettide: " << failed.what << '\n';
+  } catch (const trace::Failed& failed) {
+    std::cerr << "violettide: " << failed.what << '\n';
+  } catch (const spdlog::spdlog_ex& failed) {
+    std::cerr << "violettide: " << failed.what() << '\n';
+  }
+  return 2;
+}
+
+}  // namespace
+
+int run_check(const std::string& file) {
+  // A file with a day's calls is a day; the rest are settings.
+  auto day = standins::read_day(file);
+  if (std::holds_alternative<standins::Day>(day)) {
+    std::cout << file << ": a day without mistakes\n";
+    return 0;
+  }
+  auto settings = standins::read_settings(file);
+  if (std::holds_alternative<settings::Deployment>(settings)) {
+    const auto text = settings::file_text(file).value_or("");
+    if (text.find("day(") == std::string::npos) {
+      std::cout << file << ": settings without mistakes\n";
+      return 0;
+    }
+    return tell(std::get<settings::Mistakes>(day));
+  }
+  return tell(std::get<settings::Mistakes>(settings));
+}
+
+int run_serve(const ServeWords& words) {
+  auto read = standins::read_settings(words.settings);
+  if (const auto* mistakes = std::get_if<settings::Mistakes>(&read)) return tell(*mistakes);
+  auto deployment = std::get<settings::Deployment>(std::move(read));
+  auto& front = deployment.front;
+  if (!words.name.empty()) front.name = words.name;
+  if (words.list_port) front.list_port = *words.list_port;
+  if (words.port) deployment.listen_port = *words.port;
+  if (words.fronts) front.site.fronts = *words.fronts;
+  if (!words.keep_in.empty()) deployment.keep_in = words.keep_in;
+  if (!words.hall.empty()) {
+    const auto at = std::find(front.halls.begin(), front.halls.end(), words.hall);
+    if (at == front.halls.end()) {
+      std::cerr << "violettide: --hall: the settings have no hall named '" << words.hall << "'\n";
+      return 2;
+    }
+    front.site.own_hall = static_cast<int>(at - front.halls.begin());
+  }
+  const auto kept = deployment.keep_in.empty() ? std::string() : settings::file_text(deployment.keep_in + "/boxes.json").value_or("");
+  return guarded([&] {
+    const auto who = front.name;
+    manager::Manager manager(front, words.seed, kept, nullptr);
+    runtime::Loop loop(manager, {{deployment.listen_address, deployment.listen_port}}, log_to(words.log, who), deployment.keep_in);
+    write_ports(words.ports_to, {loop.port(0)});
+    if (words.log.empty()) std::cerr << "violettide: " << who << " listens at http://" << deployment.listen_address << ":" << loop.port(0) << "/\n";
+    loop.run();
+    return 0;
+  });
+}
+
+int run_boxes(const StandinWords& words) {
+  auto read = standins::read_day(words.day);
+  if (const auto* mistakes = std::get_if<settings::Mistakes>(&read)) return tell(*mistakes);
+  const auto day = std::get<standins::Day>(std::move(read));
+  return guarded([&] {
+    TraceFile trace(words.folder, "boxes.trace");
+    Later later;
+    std::vector<runtime::Listening> doors(day.boxes.size(), {"127.0.0.1", 0});
+    doors.push_back({"127.0.0.1", day.deployment.front.list_port});
+    runtime::Loop loop(later, doors, log_to(words.folder.empty() ? "" : words.folder + "/boxes.log", "boxes"), "");
+    std::vector<std::uint16_t> ports;
+    for (int i = 0; i <= static_cast<int>(day.boxes.size()); ++i) ports.push_back(loop.port(i));
+    auto fleet = std::make_unique<standins::Fleet>(day, ports, into_day(loop.origin_us(), words.zero_us), [&](const trace::Passed& record) { trace.put(record); });
+    fleet->clock_at(loop.origin_us());
+    later.core = std::move(fleet);
+    write_ports(words.ports_to, ports);
+    if (words.ports_to.empty()) std::cerr << "violettide: " << day.boxes.size() << " boxes, their list at http://127.0.0.1:" << ports.back() << "/boxes\n";
+    loop.run();
+    return 0;
+  });
+}
+
+int run_viewers(const StandinWords& words) {
+  auto read = standins::read_day(words.day);
+  if (const auto* mistakes = std::get_if<settings::Mistakes>(&read)) return tell(*mistakes);
+  const auto day = std::get<standins::Day>(std::move(read));
+  std::vector<standins::Door> doors;
+  for (const auto& word : words.managers) {
+    const auto first = word.find(':'), second = word.rfind(':');
+    const auto hall = first == std::string::npos || first == second ? std::string() : word.substr(first + 1, second - first - 1);
+    const auto& halls = day.deployment.front.halls;
+    const auto at = std::find(halls.begin(), halls.end(), hall);
+    const int port = std::atoi(word.substr(second + 1).c_str());
+    if (at == halls.end() || port < 1 || port > 65535) {
+      std::cerr << "violettide: --manager " << word << ": expected NAME:HALL:PORT with a hall of the day\n";
+      return 2;
+    }
+    doors.push_back({word.substr(0, first), static_cast<std::uint16_t>(port), static_cast<int>(at - halls.begin())});
+  }
+  return guarded([&] {
+    TraceFile trace(words.folder, "viewers.trace");
+    Later later;
+    runtime::Loop loop(later, {}, log_to(words.folder.empty() ? "" : words.folder + "/viewers.log", "viewers"), "");
+    later.core = std::make_unique<standins::Viewers>(day, doors, into_day(loop.origin_us(), words.zero_us), loop.origin_us(),
+                                                     [&](const trace::Passed& record) { trace.put(record); });
+    loop.run();
+    return 0;
+  });
+}
+
+}  // namespace violettide::cli
--- /dev/null
+++ b/src/manager/manager.cpp
@@ -0,0 +1,1054 @@
+#include "manager/manager.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace violettide::manager {
+
+namespace {
+
+constexpr double answer_part = 0.95;  // of the abandon time: an answer must still travel to its viewer
+constexpr double guard_part = 0.975;  // when this core answers by itself, should the module not have
+constexpr std::size_t most_pipelined = 64 * 1024;
+constexpr std::size_t most_list = 4 * 1024 * 1024;
+constexpr int stuck_abandons = 3;  // a viewer may read nothing for so many abandon times
+constexpr Span measure_every{1'000'000};
+constexpr Span least_measured{5'000};  // shorter deliveries measure the loopback, not the box
+constexpr double kbit_per_kb = 8;
+
+double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
+Span part_of(Span span, double part) { return Span(static_cast<std::int64_t>(static_cast<double>(span.count()) * part)); }
+
+class ModuleDecider : public Decider {
+ public:
+  ModuleDecider(const SiteTerms& terms, std::uint64_t seed) : brain_(terms, seed) {}
+  std::vector<Order> decide(Span now, const Event& event) override { return brain_.handle(now, event); }
+
+ private:
+  Brain brain_;
+};
+
+// Fields that end at each hop (RFC 9110, 7.6.1), and those that this hop writes itself.
+bool ends_here(std::string_view name, std::string_view connection) {
+  for (const auto own : {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding",
+                         "Upgrade", "Content-Length", "CMSD-Dynamic", "Via"}) {
+    if (http::same_name(name, own)) return true;
+  }
+  for (std::size_t from = 0; from < connection.size();) {
+    const auto end = std::min(connection.find(',', from), connection.size());
+    auto option = connection.substr(from, end - from);
+    while (!option.empty() && option.front() == ' ') option.remove_prefix(1);
+    while (!option.empty() && option.back() == ' ') option.remove_suffix(1);
+    if (http::same_name(name, option)) return true;
+    from = end + 1;
+  }
+  return false;
+}
+
+std::string listed(const std::string& before, const std::string& own) {
+  return before.empty() ? own : before + ", " + own;
+}
+
+}  // namespace
+
+std::unique_ptr<Decider> module_decider(const SiteTerms& terms, std::uint64_t seed) {
+  return std::make_unique<ModuleDecider>(terms, seed);
+}
+
+struct Manager::ViewerLink {
+  Link link = 0;
+  http::RequestReader reader;
+  http::Request request;
+  hints::ReadCmcd hints;
+  MediaPath path;
+  std::string trace;  // W3C trace context, passed on as it came
+  std::optional<PlaybackId> playback;
+  Link box = 0;  // the link its object comes by
+  bool busy = false, waits = false, head_sent = false, chunked = false;
+  bool close_after = false, half_closed = false, reading_held = false;
+  bool retried = false;  // on another connection, after a kept one had died
+  std::size_t unsent = 0;
+  Bells::Handle stuck;
+};
+
+struct Manager::BoxLink {
+  Link link = 0;
+  ServerId server = 0;
+  Use use = Use::idle;
+  bool connected = false, kept = false;  // kept: it served another request before
+  bool head_seen = false, keep_alive = true, held = false, held_since_measure = false;
+  std::string waiting;  // the request, until it is connected
+  http::ResponseReader reader;
+  std::optional<PlaybackId> playback;
+  Link viewer = 0;
+  Bells::Handle limit, connect;
+  Span asked_at{0}, head_at{0}, measured_at{0};
+  int rung = 0, status = 0;
+  double object_rate = 0;  // bytes a second that deliver it in its own duration
+  std::uint64_t bytes = 0, measured_bytes = 0;
+  std::string body;  // of a list
+};
+
+struct Manager::Playback {
+  PlaybackId id = 0;
+  std::string key;
+  int plan = 0;
+  std::string title;
+  TitleId title_id = 0;
+  bool playing = false, tied_to_link = false;
+  ServerId server = 0;
+  int rung = 0;
+  int tries = 0;
+  Span asked_at{0};
+  std::vector<Link> askers;  // viewers' links that wait for the set-up
+  Link try_link = 0;
+  bool last_late = false;
+  std::size_t objects_out = 0;
+  Span buffered{0};
+  std::string sid;
+  Bells::Handle abandon, silence;
+};
+
+Manager::Manager(FrontTerms terms, std::uint64_t seed, std::string cached_list, std::unique_ptr<Decider> decider)
+    : terms_(std::move(terms)),
+      decider_(decider ? std::move(decider) : module_decider(terms_.site, seed)),
+      list_(terms_.halls),
+      weighing_(std::max<Span>(terms_.site.note_lag, terms_.object_length), terms_.site.rung_kb),
+      cached_list_(std::move(cached_list)) {}
+Manager::~Manager() = default;
+
+Held Manager::held() const { return {viewers_.size(), boxes_.size(), playbacks_.size(), bells_.armed()}; }
+
+void Manager::say(std::string event, std::vector<Field> fields) {
+  acts_->push_back(Say{std::move(event), std::move(fields)});
+}
+
+void Manager::handle(Span now, const Happening& what, std::vector<Act>& acts) {
+  now_ = std::max(now_, now);
+  acts_ = &acts;
+  if (!began_) first_moment();
+  std::visit([this](const auto& happened) { on(happened); }, what);
+  carry_out();
+  rung_.clear();
+  bells_.advance(now_, rung_);
+  for (std::size_t i = 0; i < rung_.size(); ++i) {
+    ring(rung_[i]);
+    carry_out();
+  }
+  const auto next = bells_.next();
+  if (next && (!wake_at_ || *wake_at_ <= now_ || *next < *wake_at_)) {
+    wake_at_ = std::max(*next, now_ + std::chrono::milliseconds(1));
+    acts.push_back(WakeAt{*wake_at_});
+  }
+}
+
+void Manager::first_moment() {
+  began_ = true;
+  if (!cached_list_.empty()) take_list(list_.take_cached(now_, cached_list_), "kept");
+  arm(Span(0), Ring::list, 0);
+  arm(terms_.object_length, Ring::weigh, 0);
+}
+
+void Manager::ring(const Bell& bell) {
+  switch (bell.ring) {
+    case Ring::module:
+      return tell(TimerRang{bell.of});
+    case Ring::list:
+      return poll_list();
+    case Ring::weigh:
+      arm(terms_.object_length, Ring::weigh, 0);
+      return heed(weighing_.handle(now_, hints::TimePassed{}), 0);
+    case Ring::try_limit:
+    case Ring::box_limit:
+      if (const auto found = boxes_.find(bell.of); found != boxes_.end()) box_time_up(*found->second);
+      return;
+    case Ring::abandon: {
+      // Guards against a request that nothing answers, whatever the cause: its viewer's time is nearly up.
+      const auto found = playbacks_.find(bell.of);
+      if (found == playbacks_.end() || found->second->playing) return;
+      auto& playback = *found->second;
+      say("answered_by_guard", {{"playback", said_id(playback.id)}});
+      tell(Withdrawn{playback.id});
+      if (playback.try_link) {
+        hang_box(playback.try_link);
+        tell(TryEnded{playback.id, playback.server, Outcome::cancelled, true, {}});
+      }
+      return settle(playback, 504, "the set-up took too long\n", {});
+    }
+    case Ring::silence: {
+      const auto found = playbacks_.find(bell.of);
+      if (found == playbacks_.end() || found->second->objects_out > 0) return;
+      say("playback_over", {{"playback", said_id(bell.of)}, {"cause", std::string("silence")}});
+      tell(TryEnded{bell.of, found->second->server, Outcome::served, true, {}});
+      return forget(bell.of);
+    }
+    case Ring::viewer_stuck:
+      // Guards against a viewer that reads nothing keeping a box's connection for good.
+      say("viewer_stuck", {{"link", static_cast<std::int64_t>(bell.of)}});
+      return drop_viewer(bell.of, true);
+    case Ring::stop:
+      acts_->push_back(Leave{});
+      return;
+  }
+}
+
+// ---- viewers ----
+
+void Manager::on(const Accepted& what) {
+  // Guards against more connections than this front has memory for; those it has keep what they hold.
+  if (viewers_.size() >= terms_.viewer_links || stopping_) {
+    acts_->push_back(Send{what.link, http::head_text(503, {{"Retry-After", "1"}}, 0, false)});
+    acts_->push_back(Hang{what.link, true});
+    say("viewer_turned_away", {{"cause", std::string(stopping_ ? "stopping" : "connections")}});
+    return;
+  }
+  auto viewer = std::make_unique<ViewerLink>();
+  viewer->link = what.link;
+  viewer->reader = http::RequestReader(terms_.http);
+  viewers_.emplace(what.link, std::move(viewer));
+}
+
+void Manager::on(const Received& what) {
+  if (what.link >= first_accepted) {
+    const auto found = viewers_.find(what.link);
+    if (found == viewers_.end()) return;  // hung up on already
+    auto& viewer = *found->second;
+    viewer.reader.push(what.bytes);
+    if (viewer.busy && viewer.reader.unread() > most_pipelined && !viewer.reading_held) {
+      viewer.reading_held = true;
+      acts_->push_back(Hold{what.link});
+    }
+    return take_requests(viewer);
+  }
+  const auto found = boxes_.find(what.link);
+  if (found == boxes_.end()) return;  // an answer after its cancel
+  auto& link = *found->second;
+  from_box(link, link.reader.push(what.bytes));
+}
+
+void Manager::take_requests(ViewerLink& viewer) {
+  const Link link = viewer.link;
+  while (!viewer.busy) {
+    if (auto request = viewer.reader.next()) {
+      serve(viewer, std::move(*request));
+      if (!viewers_.contains(link)) return;
+      continue;
+    }
+    if (const auto& fault = viewer.reader.fault()) {
+      viewer.busy = viewer.close_after = true;
+      say("request_malformed", {{"status", std::int64_t{fault->status}}, {"cause", fault->cause}});
+      return answer(viewer, fault->status, fault->cause + "\n");
+    }
+    if (viewer.half_closed || stopping_) drop_viewer(link, false);
+    return;
+  }
+}
+
+void Manager::serve(ViewerLink& viewer, http::Request request) {
+  viewer.busy = true;
+  viewer.retried = false;
+  viewer.request = std::move(request);
+  viewer.close_after = !viewer.request.keep_alive || stopping_;
+  if (viewer.request.method != "GET")
+    return answer(viewer, 405, "media objects are read with GET\n", {{"Allow", "GET"}});
+  auto path = read_path(terms_, viewer.request.target);
+  if (const auto* fault = std::get_if<PathFault>(&path)) return answer(viewer, 404, fault->cause + "\n");
+  viewer.path = std::move(std::get<MediaPath>(path));
+  viewer.hints = hints::read_cmcd(viewer.request.fields, viewer.request.target);
+  const auto* trace = http::find(viewer.request.fields, "traceparent");
+  viewer.trace = trace ? *trace : "";
+  if (!viewer.hints.faults.empty()) {
+    const auto& first = viewer.hints.faults.front();
+    say("hints_left_out", {{"count", static_cast<std::int64_t>(viewer.hints.faults.size())},
+                           {"key", first.key}, {"cause", first.cause}});
+  }
+  serve_media(viewer);
+}
+
+// Which playback a request belongs to, and what it wants of it.
+void Manager::serve_media(ViewerLink& viewer) {
+  if (stopping_) return answer(viewer, 503, "this front is stopping\n", {{"Retry-After", "1"}});
+  auto& playback = admit(viewer);
+  viewer.playback = playback.id;
+  if (!playback.playing) {
+    viewer.waits = true;
+    playback.askers.push_back(viewer.link);
+    if (playback.askers.size() == 1 && playback.tries == 0 && playback.asked_at == Span(-1)) ask(playback);
+    return;
+  }
+  const auto id = playback.id;
+  heed(weighing_.handle(now_, hints::ViewerSaid{id, playback.server, viewer.hints.hints,
+                                                rate_kb(playback, playback.rung)}), playback.server);
+  fetch(viewer, playback);
+}
+
+// A playback is known by plan, title and session id. Without an id the viewer's connection stands in for
+// it, and the playback ends with the connection.
+Manager::Playback& Manager::admit(ViewerLink& viewer) {
+  const auto& sid = viewer.hints.hints.session_id;
+  std::string key = std::to_string(viewer.path.plan) + '/' + viewer.path.title + '/';
+  key += sid ? "s" + *sid : "l" + std::to_string(viewer.link);
+  if (const auto found = by_key_.find(key); found != by_key_.end()) return *playbacks_.at(found->second);
+  auto fresh = std::make_unique<Playback>();
+  auto& playback = *fresh;
+  playback.id = next_playback_++;
+  playback.key = key;
+  playback.plan = viewer.path.plan;
+  playback.title = viewer.path.title;
+  playback.tied_to_link = !sid;
+  playback.sid = sid ? *sid : terms_.name + "-" + std::to_string(viewer.link);
+  playback.asked_at = Span(-1);
+  auto [title, unknown] = titles_.try_emplace(playback.title, 0);
+  if (unknown) {
+    if (free_titles_.empty()) free_titles_.push_back(static_cast<TitleId>(titles_.size() - 1));
+    title->second = free_titles_.back();
+    free_titles_.pop_back();
+  }
+  playback.title_id = title->second;
+  ++title_uses_[playback.title_id];
+  by_key_.emplace(std::move(key), playback.id);
+  playbacks_.emplace(playback.id, std::move(fresh));
+  return playback;
+}
+
+void Manager::ask(Playback& playback) {
+  playback.asked_at = now_;
+  const auto& viewer = *viewers_.at(playback.askers.front());
+  const auto& plan = terms_.site.plans[playback.plan];
+  const auto holders = holders_of(terms_, playback.title);
+  const Span abandon = terms_.plans[playback.plan].abandon;
+  Request request;
+  request.playback = playback.id;
+  request.plan = playback.plan;
+  request.title = playback.title_id;
+  request.abandon_at = now_ + part_of(abandon, answer_part);
+  request.length = holders.length;
+  request.first_cell = holders.first_cell;
+  request.holders = holders.cells;
+  request.top = weighing_.top_for(viewer.hints.hints, plan.floor, plan.top, plan.rate_scale);
+  playback.rung = plan.floor;
+  playback.abandon = arm(part_of(abandon, guard_part), Ring::abandon, playback.id);
+  say("playback_asked", {{"playback", said_id(playback.id)}, {"plan", terms_.plans[playback.plan].name},
+                         {"title", playback.title}, {"sid", playback.sid}, {"top", std::int64_t{request.top}}});
+  tell(request);
+}
+
+void Manager::answer(ViewerLink& viewer, int status, const std::string& text, const http::Fields& more) {
+  http::Fields fields{{"Content-Type", "text/plain"}, {"Via", "1.1 " + terms_.name}};
+  fields.insert(fields.end(), more.begin(), more.end());
+  send_to_viewer(viewer, http::head_text(status, fields, text.size(), !viewer.close_after) + text);
+  done_with(viewer);
+}
+
+// The response is whole: the next request of this connection may be read.
+void Manager::done_with(ViewerLink& viewer) {
+  viewer.busy = viewer.waits = viewer.head_sent = viewer.chunked = false;
+  viewer.playback.reset();
+  viewer.box = 0;
+  if (viewer.close_after) return drop_viewer(viewer.link, false);
+  if (viewer.reading_held) {
+    viewer.reading_held = false;
+    acts_->push_back(Resume{viewer.link});
+  }
+  // What was pipelined behind it is read when all that this happening brought is done, so that a
+  // playback is never taken apart while it is being served.
+  if (viewer.reader.unread() > 0 || viewer.reader.fault() || viewer.half_closed || stopping_)
+    reread_.insert(viewer.link);
+}
+
+void Manager::drop_viewer(Link link, bool reset) {
+  const auto found = viewers_.find(link);
+  if (found == viewers_.end()) return;
+  const auto viewer = std::move(found->second);
+  viewers_.erase(found);
+  bells_.disarm(viewer->stuck);
+  acts_->push_back(Hang{link, !reset});
+  viewer_gone(*viewer);
+  if (stopping_ && viewers_.empty()) acts_->push_back(Leave{});
+}
+
+// The viewer's connection is no more; what it waited for is withdrawn, what it was sent is let go.
+void Manager::viewer_gone(ViewerLink& viewer) {
+  if (viewer.box) {
+    if (const auto found = boxes_.find(viewer.box); found != boxes_.end()) {
+      auto& link = *found->second;
+      if (link.use == Use::set_up) link.viewer = 0;  // others may wait for this try
+      else hang_box(viewer.box);
+    }
+  }
+  PlaybackId id = 0;
+  if (viewer.playback) {
+    id = *viewer.playback;
+  } else {
+    const auto tied = by_link_.find(viewer.link);
+    if (tied == by_link_.end()) return;
+    id = tied->second;
+  }
+  by_link_.erase(viewer.link);
+  const auto found = playbacks_.find(id);
+  if (found == playbacks_.end()) return;
+  auto& playback = *found->second;
+  if (playback.playing) {
+    if (viewer.busy && playback.objects_out > 0) --playback.objects_out;
+    if (!playback.tied_to_link) return rest(playback);
+    say("playback_over", {{"playback", said_id(id)}, {"cause", std::string("its connection ended")}});
+    tell(TryEnded{id, playback.server, Outcome::served, true, {}});
+    return forget(id);
+  }
+  std::erase(playback.askers, viewer.link);
+  if (!playback.askers.empty()) return;
+  say("playback_withdrawn", {{"playback", said_id(id)}});
+  tell(Withdrawn{id});
+  if (playback.try_link) {
+    hang_box(playback.try_link);
+    tell(TryEnded{id, playback.server, Outcome::cancelled, true, {}});
+  }
+  forget(id);
+}
+
+void Manager::on(const HalfClosed& what) {
+  if (what.link < first_accepted) return on(Ended{what.link, Ending::finished});
+  const auto found = viewers_.find(what.link);
+  if (found == viewers_.end()) return;
+  // A peer that closed and one that only writes no more look alike: what it asked is answered still.
+  found->second->half_closed = true;
+  if (!found->second->busy) take_requests(*found->second);
+}
+
+void Manager::on(const Flushed& what) {
+  const auto found = viewers_.find(what.link);
+  if (found == viewers_.end()) return;
+  auto& viewer = *found->second;
+  viewer.unsent = 0;
+  bells_.disarm(viewer.stuck);
+  const auto box = boxes_.find(viewer.box);
+  if (box == boxes_.end() || !box->second->held) return;
+  box->second->held = false;
+  acts_->push_back(Resume{viewer.box});
+}
+
+void Manager::send_to_viewer(ViewerLink& viewer, std::string bytes) {
+  viewer.unsent += bytes.size();
+  acts_->push_back(Send{viewer.link, std::move(bytes)});
+  if (viewer.unsent <= terms_.most_unsent) return;
+  // Backpressure: the box is read no further until its viewer has read.
+  const auto found = boxes_.find(viewer.box);
+  if (found == boxes_.end() || found->second->held) return;
+  auto& box = *found->second;
+  box.held = box.held_since_measure = true;
+  acts_->push_back(Hold{box.link});
+  viewer.stuck = arm(stuck_abandons * terms_.plans[viewer.path.plan].abandon, Ring::viewer_stuck, viewer.link);
+}
+
+void Manager::head_to_viewer(ViewerLink& viewer, BoxLink& box, const http::ResponseHead& head) {
+  const auto* connection = http::find(head.fields, "Connection");
+  http::Fields fields;
+  for (const auto& [name, value] : head.fields) {
+    if (!ends_here(name, connection ? *connection : "")) fields.emplace_back(name, value);
+  }
+  fields.emplace_back("Via", listed(http::joined(head.fields, "Via"), "1.1 " + terms_.name));
+  hints::CmsdDynamic own;
+  own.server = terms_.name;
+  own.response_delay = (now_ - box.asked_at).count() / 1000;
+  if (viewer.playback) {
+    if (const auto found = playbacks_.find(*viewer.playback); found != playbacks_.end())
+      own.max_suggested_bitrate = std::llround(rate_kb(*found->second, found->second->rung) * kbit_per_kb);
+  }
+  fields.emplace_back("CMSD-Dynamic", hints::with_entry(http::joined(head.fields, "CMSD-Dynamic"), own));
+  viewer.chunked = !head.length && viewer.request.version >= 11;
+  if (!head.length && !viewer.chunked) viewer.close_after = true;
+  viewer.head_sent = true;
+  send_to_viewer(viewer, http::head_text(head.status, fields, head.length, !viewer.close_after, viewer.chunked));
+}
+
+// ---- playbacks ----
+
+int Manager::rung_for(const Playback& playback, int asked) const {
+  const int floor = terms_.site.plans[playback.plan].floor;
+  return std::max(floor, std::min(playback.rung, asked));
+}
+
+double Manager::rate_kb(const Playback& playback, int rung) const {
+  const auto& rates = terms_.site.rung_kb;
+  const auto at = std::clamp<std::size_t>(static_cast<std::size_t>(std::max(0, rung)), 0, rates.size() - 1);
+  return rates[at] * terms_.site.plans[playback.plan].rate_scale;
+}
+
+void Manager::settle(Playback& playback, int status, const std::string& text, const http::Fields& more) {
+  say("playback_ended", {{"playback", said_id(playback.id)}, {"status", std::int64_t{status}},
+                         {"tries", std::int64_t{playback.tries}}});
+  const auto askers = std::move(playback.askers);
+  playback.askers.clear();
+  if (playback.try_link) hang_box(playback.try_link);
+  forget(playback.id);
+  for (const auto link : askers) {
+    const auto found = viewers_.find(link);
+    if (found == viewers_.end()) continue;
+    found->second->playback.reset();
+    found->second->box = 0;
+    answer(*found->second, status, text, more);
+  }
+}
+
+void Manager::forget(PlaybackId id) {
+  const auto found = playbacks_.find(id);
+  if (found == playbacks_.end()) return;
+  auto& playback = *found->second;
+  bells_.disarm(playback.abandon);
+  bells_.disarm(playback.silence);
+  by_key_.erase(playback.key);
+  if (--title_uses_[playback.title_id] == 0) {
+    title_uses_.erase(playback.title_id);
+    free_titles_.push_back(playback.title_id);
+    titles_.erase(playback.title);
+  }
+  weighing_.handle(now_, hints::PlaybackLeft{id});
+  playbacks_.erase(found);
+}
+
+// The box of a playing playback failed it: the module hears, and the playback is over. Its viewer's next
+// request is a new one.
+void Manager::lost(Playback& playback, Outcome outcome) {
+  say("playback_lost", {{"playback", said_id(playback.id)}, {"box", list_.box(playback.server).name}});
+  tell(TryEnded{playback.id, playback.server, outcome, true, {}});
+  forget(playback.id);
+}
+
+// Nothing of it is under way: over after a silence that its buffer can't explain.
+void Manager::rest(Playback& playback) {
+  bells_.disarm(playback.silence);
+  if (playback.objects_out > 0) return;
+  const Span silence = std::max(terms_.silence, playback.buffered + 2 * terms_.object_length);
+  playback.silence = arm(silence, Ring::silence, playback.id);
+}
+
+// ---- boxes ----
+
+http::Fields Manager::box_fields(const ViewerLink* viewer, const Playback* playback, bool set_up) const {
+  http::Fields fields{{"Host", "box"}, {"Via", "1.1 " + terms_.name}};
+  if (playback) {
+    hints::Cmcd passed = viewer ? viewer->hints.hints : hints::Cmcd{};
+    passed.session_id = playback->sid;
+    passed.startup = set_up;  // tells the box a set-up from a later object
+    for (auto& field : hints::cmcd_headers(passed)) fields.push_back(std::move(field));
+  }
+  if (viewer && !viewer->trace.empty()) fields.emplace_back("traceparent", viewer->trace);
+  if (viewer) {
+    if (const auto* range = http::find(viewer->request.fields, "Range")) fields.emplace_back("Range", *range);
+  }
+  return fields;
+}
+
+// A kept connection, or a new one; none where the box has all that it may have.
+Manager::BoxLink* Manager::box_link(ServerId server, Use use, bool anew) {
+  if (server >= list_.size()) return nullptr;
+  if (idle_.size() <= server) idle_.resize(server + 1), links_of_.resize(server + 1, 0);
+  auto& idle = idle_[server];
+  if (!anew && !idle.empty()) {
+    auto& kept = *boxes_.at(idle.back());
+    idle.pop_back();
+    kept.use = use;
+    kept.kept = true;
+    return &kept;
+  }
+  if (links_of_[server] >= terms_.links_per_box) return nullptr;
+  const auto& box = list_.box(server);
+  auto fresh = std::make_unique<BoxLink>();
+  auto& link = *fresh;
+  link.link = next_link_;
+  next_link_ = next_link_ + 1 < first_accepted ? next_link_ + 1 : 1;
+  link.server = server;
+  link.use = use;
+  ++links_of_[server];
+  boxes_.emplace(link.link, std::move(fresh));
+  acts_->push_back(Dial{link.link, box.address, box.port});
+  link.connect = arm(terms_.connect_limit, Ring::box_limit, link.link);
+  return &link;
+}
+
+void Manager::send_request(BoxLink& link, std::string text) {
+  link.asked_at = now_;
+  link.head_seen = false;
+  link.bytes = link.measured_bytes = 0;
+  link.held_since_measure = false;
+  if (link.connected) acts_->push_back(Send{link.link, std::move(text)});
+  else link.waiting = std::move(text);
+}
+
+void Manager::on(const Connected& what) {
+  const auto found = boxes_.find(what.link);
+  if (found == boxes_.end()) return;
+  auto& link = *found->second;
+  link.connected = true;
+  bells_.disarm(link.connect);
+  acts_->push_back(Send{link.link, std::move(link.waiting)});
+  link.waiting.clear();
+}
+
+void Manager::start_try(const SetUp& order) {
+  const auto found = playbacks_.find(order.playback);
+  if (found == playbacks_.end()) return;
+  auto& playback = *found->second;
+  ++playback.tries;
+  playback.server = order.server;
+  playback.last_late = false;
+  auto& viewer = *viewers_.at(playback.askers.front());
+  // A kept connection may die with the request in it, and then nobody knows whether it ran: a plan that
+  // is paid at set-up gets a connection of its own, whose failure to open proves that nothing ran.
+  const bool anew = terms_.site.plans[playback.plan].pay_at_setup;
+  auto* link = box_link(order.server, Use::set_up, anew);
+  if (!link) return tell(TryEnded{playback.id, order.server, Outcome::not_sent, false, {}});
+  link->playback = playback.id;
+  link->viewer = viewer.link;
+  link->rung = rung_for(playback, viewer.path.rung);
+  link->limit = arm(order.time_limit, Ring::try_limit, link->link);
+  playback.try_link = link->link;
+  viewer.box = link->link;
+  say("try_sent", {{"playback", said_id(playback.id)}, {"box", list_.box(order.server).name},
+                   {"rung", std::int64_t{link->rung}}, {"try", std::int64_t{playback.tries}}});
+  link->reader.expect(false);
+  send_request(*link, http::request_text("GET", path_text(terms_, viewer.path, link->rung),
+                                         box_fields(&viewer, &playback, true)));
+}
+
+void Manager::start_probe(ServerId server) {
+  auto* link = box_link(server, Use::probe, false);
+  if (!link) return tell(ProbeEnded{server, false, {}});
+  link->limit = arm(terms_.probe_limit, Ring::box_limit, link->link);
+  link->reader.expect(true);
+  send_request(*link, http::request_text("HEAD", "/", box_fields(nullptr, nullptr, false)));
+}
+
+// A later object of a playback that plays.
+void Manager::fetch(ViewerLink& viewer, Playback& playback) {
+  bells_.disarm(playback.silence);
+  if (const auto& buffer = viewer.hints.hints.buffer_length)
+    playback.buffered = std::chrono::milliseconds(std::min<std::int64_t>(*buffer, 60'000));
+  ++playback.objects_out;
+  auto* link = box_link(playback.server, Use::object, viewer.retried);
+  if (!link) {
+    --playback.objects_out;
+    rest(playback);
+    return answer(viewer, 503, "the box has all the connections it may have\n", {{"Retry-After", "1"}});
+  }
+  viewer.box = link->link;
+  link->playback = playback.id;
+  link->viewer = viewer.link;
+  link->rung = rung_for(playback, viewer.path.rung);
+  link->limit = arm(terms_.plans[playback.plan].abandon, Ring::box_limit, link->link);
+  link->reader.expect(false);
+  send_request(*link, http::request_text("GET", path_text(terms_, viewer.path, link->rung),
+                                         box_fields(&viewer, &playback, false)));
+}
+
+void Manager::from_box(BoxLink& link, http::ResponseReader::Part part) {
+  const Link id = link.link;
+  if (part.fault && !part.head && !part.done) {
+    say("box_malformed", {{"box", link.use == Use::list ? std::string("list") : list_.box(link.server).name},
+                          {"cause", part.fault->cause}});
+    if (link.use == Use::idle) return hang_box(id);
+    return box_failed(link, link.head_seen ? Outcome::reset : Outcome::error);
+  }
+  if (link.use == Use::idle) return hang_box(id);
+  // Bytes behind a response that nobody asked for make the connection worth nothing.
+  if (part.fault) link.keep_alive = false;
+  if (part.head) {
+    link.head_seen = true;
+    link.head_at = link.measured_at = now_;
+    link.status = part.head->status;
+    link.keep_alive = link.keep_alive && part.head->keep_alive;
+  }
+  switch (link.use) {
+    case Use::list:
+      link.body += part.body;
+      if (link.body.size() > most_list) return list_answered(link, false);
+      if (part.head) {
+        const auto* etag = http::find(part.head->fields, "ETag");
+        if (etag && link.status == 200) list_etag_ = *etag;
+      }
+      if (part.done) list_answered(link, true);
+      return;
+    case Use::probe:
+      if (part.head) {
+        const auto said = hints::read_cmsd("", http::joined(part.head->fields, "CMSD-Dynamic"));
+        LoadReport load;
+        if (!said.hops.empty())
+          load = weighing_.handle(now_, hints::BoxSaid{link.server, said.hops.front(), 0}).report.value_or(LoadReport{});
+        tell(ProbeEnded{link.server, link.status < 500, load});
+      }
+      if (part.done) release(link, true);
+      return;
+    case Use::set_up:
+      if (part.head) {
+        try_head(link, *part.head);
+        const auto still = boxes_.find(id);
+        if (still == boxes_.end() || still->second->use != Use::object) {
+          if (still != boxes_.end() && part.done) release(link, true);
+          return;
+        }
+      }
+      return object_part(link, part);
+    case Use::object:
+      if (part.head) {
+        const auto viewer = viewers_.find(link.viewer);
+        hear_box(link, *part.head, 0);
+        if (viewer != viewers_.end()) head_to_viewer(*viewer->second, link, *part.head);
+      }
+      return object_part(link, part);
+    case Use::idle:
+      return;
+  }
+}
+
+// What a box's answer to a set-up try means.
+void Manager::try_head(BoxLink& link, const http::ResponseHead& head) {
+  bells_.disarm(link.limit);
+  const auto found = playbacks_.find(*link.playback);
+  if (found == playbacks_.end()) return hang_box(link.link);
+  auto& playback = *found->second;
+  playback.try_link = 0;
+  hear_box(link, head, rate_kb(playback, link.rung));
+  if (head.status == 200 || head.status == 206) {
+    link.use = Use::object;
+    playback.playing = true;
+    bells_.disarm(playback.abandon);
+    link.limit = arm(terms_.plans[playback.plan].abandon, Ring::box_limit, link.link);
+    say("playback_plays", {{"playback", said_id(playback.id)}, {"box", list_.box(link.server).name},
+                           {"rung", std::int64_t{link.rung}}, {"tries", std::int64_t{playback.tries}},
+                           {"waited_ms", (now_ - playback.asked_at).count() / 1000}});
+    tell(Started{playback.id, link.server, now_ - link.asked_at});
+    ++playback.objects_out;
+    const auto askers = std::move(playback.askers);
+    playback.askers.clear();
+    const auto first = viewers_.find(link.viewer);
+    if (first != viewers_.end()) {
+      if (playback.tied_to_link) by_link_[link.viewer] = playback.id;
+      first->second->waits = false;
+      head_to_viewer(*first->second, link, head);
+    } else {
+      link.viewer = 0;
+    }
+    for (const auto asker : askers) {
+      const auto other = viewers_.find(asker);
+      if (other == viewers_.end() || asker == link.viewer) continue;
+      other->second->waits = false;
+      fetch(*other->second, playback);
+    }
+    return;
+  }
+  // 503 is the box's word that it took nothing on (RFC 9110, 15.6.4); the rest may have run.
+  const auto outcome = head.status == 503 ? Outcome::full : Outcome::error;
+  say("try_ended", {{"playback", said_id(playback.id)}, {"box", list_.box(link.server).name},
+                    {"status", std::int64_t{head.status}}});
+  if (const auto viewer = viewers_.find(link.viewer); viewer != viewers_.end()) viewer->second->box = 0;
+  link.playback.reset();
+  link.viewer = 0;
+  link.use = Use::probe;  // the rest of its answer is read and let go
+  link.head_seen = true;
+  link.limit = arm(terms_.probe_limit, Ring::box_limit, link.link);
+  tell(TryEnded{playback.id, link.server, outcome, false, {}});
+}
+
+void Manager::hear_box(BoxLink& link, const http::ResponseHead& head, double rate) {
+  const auto said = hints::read_cmsd(http::joined(head.fields, "CMSD-Static"), http::joined(head.fields, "CMSD-Dynamic"));
+  if (!said.faults.empty())
+    say("box_hints_left_out", {{"box", list_.box(link.server).name}, {"cause", said.faults.front()}});
+  double length = seconds(terms_.object_length);
+  if (said.fixed && said.fixed->object_duration && *said.fixed->object_duration > 0)
+    length = static_cast<double>(*said.fixed->object_duration) / 1000;
+  const auto playback = playbacks_.find(link.playback.value_or(~PlaybackId{0}));
+  const double rung_rate = playback == playbacks_.end() ? rate : rate_kb(*playback->second, link.rung);
+  link.object_rate = head.length ? static_cast<double>(*head.length) / length : rung_rate * 1000;
+  if (!said.hops.empty()) heed(weighing_.handle(now_, hints::BoxSaid{link.server, said.hops.front(), rung_rate}), link.server);
+}
+
+void Manager::object_part(BoxLink& link, http::ResponseReader::Part& part) {
+  const Link id = link.link;
+  link.bytes += part.body.size();
+  const auto found = viewers_.find(link.viewer);
+  if (found != viewers_.end()) {
+    auto& viewer = *found->second;
+    if (!part.body.empty()) send_to_viewer(viewer, viewer.chunked ? http::chunk(part.body) : std::move(part.body));
+    if (part.done && viewer.chunked) send_to_viewer(viewer, std::string(http::last_chunk));
+  }
+  if (!part.done) {
+    if (part.body.empty()) return;
+    bells_.disarm(link.limit);
+    const auto playback = playbacks_.find(*link.playback);
+    const int plan = playback == playbacks_.end() ? 0 : playback->second->plan;
+    link.limit = arm(terms_.plans[plan].abandon, Ring::box_limit, id);
+    if (now_ - link.measured_at >= measure_every) measure(link, false);
+    return;
+  }
+  measure(link, true);
+  if (const auto playback = playbacks_.find(*link.playback); playback != playbacks_.end()) {
+    if (playback->second->objects_out > 0) --playback->second->objects_out;
+    rest(*playback->second);
+  }
+  const Link viewer = link.viewer;
+  release(link, true);
+  if (const auto still = viewers_.find(viewer); still != viewers_.end()) done_with(*still->second);
+}
+
+// Tells the weighing how the box kept up since the last measure.
+void Manager::measure(BoxLink& link, bool whole) {
+  const Span took = now_ - link.measured_at;
+  const auto bytes = static_cast<double>(link.bytes - link.measured_bytes);
+  if (link.object_rate <= 0 || (whole && bytes == 0) || link.status >= 300) return;
+  const double share = took < least_measured ? 1.0 : std::min(1.0, bytes / (link.object_rate * seconds(took)));
+  heed(weighing_.handle(now_, hints::Delivered{*link.playback, link.server, share, link.held_since_measure}), link.server);
+  link.measured_at = now_;
+  link.measured_bytes = link.bytes;
+  link.held_since_measure = link.held;
+}
+
+void Manager::on(const Ended& what) {
+  if (what.link >= first_accepted) {
+    const auto found = viewers_.find(what.link);
+    if (found == viewers_.end()) return;
+    const auto viewer = std::move(found->second);
+    viewers_.erase(found);
+    bells_.disarm(viewer->stuck);
+    viewer_gone(*viewer);
+    if (stopping_ && viewers_.empty()) acts_->push_back(Leave{});
+    return;
+  }
+  const auto found = boxes_.find(what.link);
+  if (found == boxes_.end()) return;
+  auto& link = *found->second;
+  if (link.use == Use::idle) return hang_box(what.link);
+  if (what.how == Ending::finished && link.connected) {
+    auto rest = link.reader.close();  // a body without a length ends so
+    if (!rest.fault && (rest.done || rest.head)) {
+      link.keep_alive = false;
+      return from_box(link, std::move(rest));
+    }
+  }
+  box_failed(link, link.connected ? Outcome::reset : Outcome::no_connection);
+}
+
+void Manager::box_time_up(BoxLink& link) {
+  if (!link.connected) return box_failed(link, Outcome::no_connection);
+  // Guards against blaming a box for what its viewer does not read.
+  if (link.use == Use::object && link.held) {
+    link.limit = arm(terms_.connect_limit, Ring::box_limit, link.link);
+    return;
+  }
+  box_failed(link, Outcome::late);
+}
+
+// A link that failed while it was in use; what that means depends on what it was used for.
+void Manager::box_failed(BoxLink& link, Outcome outcome) {
+  const auto use = link.use;
+  const auto server = link.server;
+  const bool head_seen = link.head_seen, kept = link.kept;
+  const auto id = link.playback;
+  const auto viewer_link = link.viewer;
+  if (use == Use::list) return list_answered(link, false);
+  hang_box(link.link);
+  if (use == Use::probe) {
+    if (!head_seen) tell(ProbeEnded{server, false, {}});
+    return;
+  }
+  const auto found = playbacks_.find(id.value_or(~PlaybackId{0}));
+  const auto viewer = viewers_.find(viewer_link);
+  if (viewer != viewers_.end()) viewer->second->box = 0;
+  if (use == Use::set_up) {
+    if (found == playbacks_.end()) return;
+    found->second->try_link = 0;
+    found->second->last_late = outcome == Outcome::late;
+    say("try_ended", {{"playback", said_id(*id)}, {"box", list_.box(server).name},
+                      {"outcome", std::int64_t{static_cast<int>(outcome)}}});
+    return tell(TryEnded{*id, server, outcome, false, {}});
+  }
+  if (found != playbacks_.end() && found->second->objects_out > 0) --found->second->objects_out;
+  // A kept connection that the box closed meanwhile proves nothing against it: once more on a new one.
+  if (kept && !head_seen && outcome == Outcome::reset && viewer != viewers_.end() && found != playbacks_.end() &&
+      !viewer->second->retried) {
+    viewer->second->retried = true;
+    return fetch(*viewer->second, *found->second);
+  }
+  bool pay_at_setup = false;
+  if (found != playbacks_.end()) {
+    pay_at_setup = terms_.site.plans[found->second->plan].pay_at_setup;
+    lost(*found->second, outcome);
+  }
+  if (viewer == viewers_.end()) return;
+  auto& waiting = *viewer->second;
+  waiting.playback.reset();
+  if (waiting.head_sent) return drop_viewer(viewer_link, true);  // a body cut short must look cut short
+  // The object was not begun: its viewer asks anew here, as it would after a break. A plan paid at set-up
+  // is not set up again on the front's own account.
+  if (pay_at_setup) return answer(waiting, 502, "the box of this playback is lost\n");
+  serve_media(waiting);
+}
+
+// The link is whole and free: kept for the next request, or closed.
+void Manager::release(BoxLink& link, bool reusable) {
+  bells_.disarm(link.limit);
+  link.playback.reset();
+  link.viewer = 0;
+  const bool wanted = reusable && link.keep_alive && !stopping_ &&
+                      list_.box(link.server).standing != Standing::gone &&
+                      idle_[link.server].size() < terms_.idle_links_per_box;
+  if (!wanted) return hang_box(link.link);
+  link.use = Use::idle;
+  if (link.held) {
+    link.held = false;
+    acts_->push_back(Resume{link.link});
+  }
+  idle_[link.server].push_back(link.link);
+}
+
+void Manager::hang_box(Link id) {
+  const auto found = boxes_.find(id);
+  if (found == boxes_.end()) return;
+  auto& link = *found->second;
+  bells_.disarm(link.limit);
+  bells_.disarm(link.connect);
+  if (link.use != Use::list) {
+    --links_of_[link.server];
+    std::erase(idle_[link.server], id);
+  }
+  acts_->push_back(Hang{id, false});
+  boxes_.erase(found);
+}
+
+// ---- the list ----
+
+void Manager::poll_list() {
+  arm(terms_.list_every, Ring::list, 0);
+  if (list_out_ || terms_.list_port == 0) return;
+  list_out_ = true;
+  auto fresh = std::make_unique<BoxLink>();
+  auto& link = *fresh;
+  link.link = next_link_;
+  next_link_ = next_link_ + 1 < first_accepted ? next_link_ + 1 : 1;
+  link.use = Use::list;
+  boxes_.emplace(link.link, std::move(fresh));
+  acts_->push_back(Dial{link.link, terms_.list_address, terms_.list_port});
+  link.limit = arm(2 * terms_.list_every, Ring::box_limit, link.link);
+  link.reader.expect(false);
+  http::Fields fields{{"Host", "list"}, {"Via", "1.1 " + terms_.name}, {"Connection", "close"}};
+  if (!list_etag_.empty()) fields.emplace_back("If-None-Match", list_etag_);
+  send_request(link, http::request_text("GET", "/boxes", fields));
+}
+
+void Manager::list_answered(BoxLink& link, bool whole) {
+  list_out_ = false;
+  const auto body = std::move(link.body);
+  const int status = link.head_seen ? link.status : 0;
+  hang_box(link.link);
+  if (whole && status == 304) return;
+  if (!whole || status != 200) {
+    list_etag_.clear();
+    say("list_failed", {{"status", std::int64_t{status}}});
+    return tell(ListFailed{});
+  }
+  auto news = list_.take(now_, body);
+  if (news.list && !news.fault) acts_->push_back(Store{"boxes.json", body});
+  if (!news.remark.empty()) list_etag_.clear();  // the next answer must come whole to be weighed again
+  take_list(std::move(news), "service");
+}
+
+void Manager::take_list(boxlist::News news, const char* source) {
+  if (news.fault) {
+    list_etag_.clear();
+    say("list_malformed", {{"source", std::string(source)}, {"place", news.fault->place}, {"cause", news.fault->cause}});
+    return tell(ListFailed{});
+  }
+  if (!news.remark.empty()) say("list_passed_over", {{"source", std::string(source)}, {"cause", news.remark}});
+  if (idle_.size() < list_.size()) idle_.resize(list_.size()), links_of_.resize(list_.size(), 0);
+  // Connections to a process that is no more, or is elsewhere now, lead nowhere.
+  for (const auto server : news.moved) {
+    const auto idle = idle_[server];
+    for (const auto link : idle) hang_box(link);
+  }
+  if (!news.list) return;
+  say("list_taken", {{"source", std::string(source)}, {"revision", list_.revision()},
+                     {"boxes", static_cast<std::int64_t>(news.list->entries.size())}});
+  tell(*news.list);
+}
+
+// ---- the module ----
+
+void Manager::tell(const Event& event) { events_.push_back(event); }
+
+void Manager::heed(hints::Weighed weighed, ServerId server) {
+  if (weighed.last_mile) say("viewer_line_short", {{"playback", said_id(*weighed.last_mile)}});
+  for (const auto& note : weighed.notes) tell(note);
+  if (!weighed.report) return;
+  const auto& report = *weighed.report;
+  if (report.link_fill) tell(Note{~PlaybackId{0}, server, Note::About::link_fill, *report.link_fill});
+  if (report.uplink_fill) tell(Note{~PlaybackId{0}, server, Note::About::uplink_fill, *report.uplink_fill});
+}
+
+// Everything waits in line, so that no order is carried out in the middle of another matter.
+void Manager::carry_out() {
+  for (;;) {
+    while (!events_.empty()) {
+      const auto event = std::move(events_.front());
+      events_.pop_front();
+      for (const auto& order : decider_->decide(now_, event)) carry_out(order);
+    }
+    if (reread_.empty()) return;
+    const auto link = *reread_.begin();
+    reread_.erase(reread_.begin());
+    if (const auto found = viewers_.find(link); found != viewers_.end()) take_requests(*found->second);
+  }
+}
+
+void Manager::carry_out(const Order& order) {
+  std::visit(
+      Visit{
+          [this](const SetUp& o) { start_try(o); },
+          [this](const SetRung& o) {
+            const auto found = playbacks_.find(o.playback);
+            if (found == playbacks_.end()) return;
+            auto& playback = *found->second;
+            if (playback.playing)
+              say("rung_set", {{"playback", said_id(o.playback)}, {"from", std::int64_t{playback.rung}},
+                               {"to", std::int64_t{o.rung}}});
+            playback.rung = o.rung;
+          },
+          [this](const Reject& o) {
+            const auto found = playbacks_.find(o.playback);
+            if (found == playbacks_.end()) return;
+            http::Fields more;
+            const auto whole = (o.come_back.count() + 999'999) / 1'000'000;
+            if (whole > 0) more.emplace_back("Retry-After", std::to_string(whole));
+            settle(*found->second, 503, "rejected: no box has room\n", more);
+          },
+          [this](const Abort& o) {
+            const auto found = playbacks_.find(o.playback);
+            if (found == playbacks_.end()) return;
+            const int status = found->second->last_late ? 504 : 502;
+            settle(*found->second, status, "aborted: the set-up failed\n", {});
+          },
+          [this](const Probe& o) { start_probe(o.server); },
+          [this](const SetTimer& o) { arm(o.delay, Ring::module, o.token); },
+          [this](const FollowList&) {},  // the list is followed in any case
+      },
+      order);
+}
+
+// ---- stopping ----
+
+// Everybody is answered: what waits for a set-up by the module, what plays gets its object to the end.
+void Manager::on(const StopAsked&) {
+  if (stopping_) return;
+  stopping_ = true;
+  say("stopping", {{"playbacks", static_cast<std::int64_t>(playbacks_.size())}});
+  acts_->push_back(Shut{0});
+  arm(terms_.stop_limit, Ring::stop, 0);
+  std::vector<Link> idle;
+  for (auto& [link, viewer] : viewers_) {
+    if (!viewer->busy) idle.push_back(link);
+    else viewer->close_after = true;
+  }
+  std::sort(idle.begin(), idle.end());
+  for (const auto link : idle) drop_viewer(link, false);
+  if (viewers_.empty()) acts_->push_back(Leave{});
+}
+
+}  // namespace violettide::manager
--- /dev/null
+++ b/src/manager/manager.h
@@ -0,0 +1,152 @@
+// The session manager: viewers' requests and boxes' answers in, orders to sockets out. What happened is
+// told to the module, and what the module decides is done; this core adds what only sockets bring: which
+// playback a request belongs to, when a try has ended and how, when a playback is over. Free of I/O and
+// clock.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "boxlist/boxlist.h"
+#include "brain.h"
+#include "hints/weighing/weighing.h"
+#include "http/http.h"
+#include "manager/terms.h"
+#include "seams/seams.h"
+#include "wheel/wheel.h"
+
+namespace violettide::manager {
+
+// Who decides: the module in service, a script in tests.
+class Decider {
+ public:
+  virtual ~Decider() = default;
+  virtual std::vector<Order> decide(Span now, const Event& event) = 0;
+};
+std::unique_ptr<Decider> module_decider(const SiteTerms& terms, std::uint64_t seed);
+
+// What a manager holds now, for tests, logs and `bench/`.
+struct Held {
+  std::size_t viewer_links = 0, box_links = 0, playbacks = 0, timers = 0;
+};
+
+class Manager : public Core {
+ public:
+  // `cached_list`: the list kept from before, empty if there is none.
+  Manager(FrontTerms terms, std::uint64_t seed, std::string cached_list, std::unique_ptr<Decider> decider);
+  ~Manager() override;
+  void handle(Span now, const Happening& what, std::vector<Act>& acts) override;
+  Held held() const;
+
+ private:
+  enum class Use { idle, set_up, object, probe, list };
+  struct ViewerLink;
+  struct BoxLink;
+  struct Playback;
+  enum class Ring { module, abandon, try_limit, box_limit, silence, list, viewer_stuck, stop, weigh };
+  struct Bell {
+    Ring ring = Ring::module;
+    std::uint32_t of = 0;
+  };
+  using Bells = Wheel<Bell>;
+
+  // ---- what happened on sockets ----
+  void on(const Accepted& what);
+  void on(const Connected& what);
+  void on(const Received& what);
+  void on(const HalfClosed& what);
+  void on(const Ended& what);
+  void on(const Flushed& what);
+  void on(const Woken&) {}
+  void on(const StopAsked&);
+  void ring(const Bell& bell);
+  void first_moment();
+
+  // ---- viewers ----
+  void take_requests(ViewerLink& viewer);
+  void serve(ViewerLink& viewer, http::Request request);
+  void serve_media(ViewerLink& viewer);
+  void drop_viewer(Link link, bool reset);
+  void viewer_gone(ViewerLink& viewer);
+  void answer(ViewerLink& viewer, int status, const std::string& text, const http::Fields& more = {});
+  void done_with(ViewerLink& viewer);
+  void send_to_viewer(ViewerLink& viewer, std::string bytes);
+  void head_to_viewer(ViewerLink& viewer, BoxLink& box, const http::ResponseHead& head);
+
+  // ---- playbacks ----
+  Playback& admit(ViewerLink& viewer);
+  void ask(Playback& playback);
+  void settle(Playback& playback, int status, const std::string& text, const http::Fields& more);
+  void forget(PlaybackId id);
+  void lost(Playback& playback, Outcome outcome);
+  void rest(Playback& playback);
+  int rung_for(const Playback& playback, int asked) const;
+  double rate_kb(const Playback& playback, int rung) const;
+
+  // ---- boxes ----
+  void start_try(const SetUp& order);
+  void start_probe(ServerId server);
+  void fetch(ViewerLink& viewer, Playback& playback);
+  BoxLink* box_link(ServerId server, Use use, bool anew);
+  void send_request(BoxLink& link, std::string text);
+  void from_box(BoxLink& link, http::ResponseReader::Part part);
+  void object_part(BoxLink& link, http::ResponseReader::Part& part);
+  void try_head(BoxLink& link, const http::ResponseHead& head);
+  void box_failed(BoxLink& link, Outcome outcome);
+  void box_time_up(BoxLink& link);
+  void release(BoxLink& link, bool reusable);
+  void hang_box(Link link);
+  void measure(BoxLink& link, bool whole);
+  void hear_box(BoxLink& link, const http::ResponseHead& head, double rate);
+  http::Fields box_fields(const ViewerLink* viewer, const Playback* playback, bool set_up) const;
+
+  // ---- the list ----
+  void poll_list();
+  void list_answered(BoxLink& link, bool whole);
+  void take_list(boxlist::News news, const char* source);
+
+  // ---- the module ----
+  void tell(const Event& event);
+  void carry_out();
+  void carry_out(const Order& order);
+  void heed(hints::Weighed weighed, ServerId server);
+
+  Bells::Handle arm(Span in, Ring ring, std::uint32_t of) { return bells_.arm(now_ + in, {ring, of}); }
+  void say(std::string event, std::vector<Field> fields = {});
+  std::int64_t said_id(PlaybackId id) const { return static_cast<std::int64_t>(id); }
+
+  FrontTerms terms_;
+  std::unique_ptr<Decider> decider_;
+  boxlist::BoxList list_;
+  hints::Weighing weighing_;
+  std::string cached_list_;
+  Bells bells_;
+  std::vector<Bell> rung_;
+  Span now_{0};
+  std::vector<Act>* acts_ = nullptr;
+  bool began_ = false, stopping_ = false;
+  std::optional<Span> wake_at_;
+  std::deque<Event> events_;
+  std::set<Link> reread_;  // viewers whose pipelined requests may be read now
+  std::unordered_map<Link, std::unique_ptr<ViewerLink>> viewers_;
+  std::unordered_map<Link, std::unique_ptr<BoxLink>> boxes_;
+  std::vector<std::vector<Link>> idle_;          // by server: links that wait for use, the latest last
+  std::vector<std::size_t> links_of_;            // by server
+  std::unordered_map<PlaybackId, std::unique_ptr<Playback>> playbacks_;
+  std::unordered_map<std::string, PlaybackId> by_key_;
+  std::unordered_map<Link, PlaybackId> by_link_;  // playbacks known by their connection alone
+  std::unordered_map<std::string, TitleId> titles_;
+  std::map<TitleId, std::uint32_t> title_uses_;
+  std::vector<TitleId> free_titles_;
+  PlaybackId next_playback_ = 0;
+  Link next_link_ = 1;
+  std::string list_etag_;
+  bool list_out_ = false;
+};
+
+}  // namespace violettide::manager
--- /dev/null
+++ b/src/manager/terms.h
@@ -0,0 +1,67 @@
+// What a session manager is told of its deployment and of its own place in it.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "brain.h"
+#include "http/http.h"
+
+namespace violettide::manager {
+
+struct Plan {
+  std::string name;
+  Span abandon{0};  // a viewer waits so long for a set-up
+};
+
+// Where a recording lies: the boxes of so many cells in a row.
+struct Holders {
+  int first_cell = 0;
+  int cells = 1;
+  std::optional<Span> length;
+};
+struct Recording {
+  std::string title;
+  Holders holders;
+};
+
+struct FrontTerms {
+  std::string name = "front";  // in Via and CMSD
+  SiteTerms site;              // what the module reads
+  std::vector<Plan> plans;     // in the order of site.plans
+  std::vector<std::string> halls;
+  std::vector<Recording> recordings;  // sorted by title; others lie where their name's hash says
+  int copies = 3;                     // cells in a row that hold a title without an entry
+  Span object_length{1'000'000};      // where a box doesn't say
+  std::string list_address = "127.0.0.1";
+  std::uint16_t list_port = 0;
+  Span list_every{500'000};
+  Span probe_limit{250'000};
+  Span connect_limit{250'000};
+  Span silence{10'000'000};  // a playback that asks nothing for so long, and what it has in its buffer, is over
+  std::size_t links_per_box = 256;
+  std::size_t idle_links_per_box = 16;
+  std::size_t viewer_links = 10'000;
+  std::size_t most_unsent = 256 * 1024;  // bytes to one viewer before its box is held
+  Span stop_limit{5'000'000};
+  http::Limits http;
+};
+
+Holders holders_of(const FrontTerms& terms, std::string_view title);
+
+// `/PLAN/TITLE/rN/OBJECT`, the path of every media object.
+struct MediaPath {
+  int plan = 0;
+  std::string title;
+  int rung = 0;
+  std::string object;
+};
+struct PathFault {
+  std::string cause;
+};
+std::variant<MediaPath, PathFault> read_path(const FrontTerms& terms, std::string_view target);
+std::string path_text(const FrontTerms& terms, const MediaPath& path, int rung);
+
+}  // namespace violettide::manager
--- /dev/null
+++ b/src/runtime/runtime.cpp
@@ -0,0 +1,406 @@
+#include "runtime/runtime.h"
+
+#include <signal.h>
+#include <uv.h>
+
+#include <array>
+#include <cstdio>
+#include <cstring>
+#include <unordered_map>
+
+namespace violettide::runtime {
+
+namespace {
+
+constexpr int backlog = 1024;
+constexpr std::size_t read_size = 64 * 1024;
+constexpr std::uint64_t linger_ms = 500;  // for a peer to read an answer before its unread bytes reset it
+
+[[noreturn]] void fail(const std::string& what, int code) { throw Failed{what + ": " + uv_strerror(code)}; }
+
+sockaddr_in place_of(const std::string& address, std::uint16_t port) {
+  sockaddr_in place{};
+  if (const int code = uv_ip4_addr(address.c_str(), port, &place)) fail("address " + address, code);
+  return place;
+}
+
+}  // namespace
+
+class Loop::Inside {
+ public:
+  Inside(Core& core, std::vector<Listening> doors, std::function<void(Span, const Say&)> said, std::string folder)
+      : core_(core), said_(std::move(said)), folder_(std::move(folder)), places_(std::move(doors)) {
+    signal(SIGPIPE, SIG_IGN);  // a peer that is gone is told by the write that fails
+    uv_loop_init(&loop_);
+    origin_ = uv_hrtime() / 1000;
+    uv_timer_init(&loop_, &timer_);
+    timer_.data = this;
+    uv_prepare_init(&loop_, &prepare_);
+    prepare_.data = this;
+    uv_check_init(&loop_, &check_);
+    check_.data = this;
+    // One time for all that one turn of the loop brings, so that a core that stood still can tell.
+    uv_prepare_start(&prepare_, [](uv_prepare_t* h) { of(h)->time_read_ = false; });
+    uv_check_start(&check_, [](uv_check_t* h) { of(h)->time_read_ = false; });
+    for (std::size_t i = 0; i < signals_.size(); ++i) {
+      uv_signal_init(&loop_, &signals_[i]);
+      signals_[i].data = this;
+      uv_signal_start(&signals_[i], [](uv_signal_t* h, int) { of(h)->deliver(StopAsked{}); }, i == 0 ? SIGINT : SIGTERM);
+    }
+    doors_.resize(places_.size());
+    for (std::size_t i = 0; i < places_.size(); ++i) open(static_cast<int>(i));
+  }
+
+  ~Inside() {
+    uv_walk(&loop_, [](uv_handle_t* handle, void*) {
+      if (!uv_is_closing(handle)) uv_close(handle, nullptr);
+    }, nullptr);
+    uv_run(&loop_, UV_RUN_DEFAULT);
+    uv_loop_close(&loop_);
+  }
+
+  void run() {
+    deliver(Woken{});
+    uv_run(&loop_, UV_RUN_DEFAULT);
+  }
+
+  std::uint16_t port(int door) const { return places_.at(door).port; }
+  Span now() {
+    if (!time_read_) {
+      time_ = Span(static_cast<std::int64_t>(uv_hrtime() / 1000 - origin_));
+      time_read_ = true;
+    }
+    return time_;
+  }
+  std::uint64_t origin() const { return origin_; }
+
+ private:
+  struct Connection {
+    Inside* inside = nullptr;
+    Link link = 0;
+    uv_tcp_t socket{};
+    uv_connect_t connecting{};
+    uv_timer_t linger{};
+    bool lingers = false;
+    std::string out;       // gathered while acts are done
+    bool touched = false, reading = false, hung = false, writing = false, connected = false;
+    bool shut_after = false;
+    int closing_handles = 0;
+  };
+  struct Writing {
+    uv_write_t request{};
+    Connection* connection = nullptr;
+    std::string bytes;
+  };
+  struct Listener {
+    uv_tcp_t socket{};
+    Inside* inside = nullptr;
+    int door = 0;
+  };
+  template <typename Handle>
+  static Inside* of(Handle* handle) { return static_cast<Inside*>(handle->data); }
+
+  void deliver(const Happening& what) {
+    std::vector<Act> acts;
+    core_.handle(now(), what, acts);
+    perform(acts);
+    while (!flushed_.empty()) {
+      std::vector<Link> ready;
+      ready.swap(flushed_);
+      for (const auto link : ready) {
+        if (!links_.contains(link)) continue;
+        acts.clear();
+        core_.handle(now(), Flushed{link}, acts);
+        perform(acts);
+      }
+    }
+  }
+
+  void perform(std::vector<Act>& acts) {
+    std::vector<Link> touched;
+    for (auto& act : acts) {
+      std::visit(Visit{
+                     [&](Dial& a) { dial(a); },
+                     [&](Send& a) {
+                       auto* to = find(a.link);
+                       if (!to || to->hung) return;
+                       if (to->out.empty()) to->out = std::move(a.bytes);
+                       else to->out += a.bytes;
+                       if (!std::exchange(to->touched, true)) touched.push_back(a.link);
+                     },
+                     [&](Hang& a) { hang(a); },
+                     [&](Hold& a) {
+                       auto* from = find(a.link);
+                       if (from && from->reading) uv_read_stop(stream(*from)), from->reading = false;
+                     },
+                     [&](Resume& a) {
+                       if (auto* from = find(a.link)) read(*from);
+                     },
+                     [&](WakeAt& a) { wake(a.at); },
+                     [&](Open& a) { open(a.door); },
+                     [&](Shut& a) { shut(a.door); },
+                     [&](Store& a) { store(a); },
+                     [&](Say& a) {
+                       if (said_) said_(now(), a);
+                     },
+                     [&](Leave&) { uv_stop(&loop_); },
+                 },
+                 act);
+    }
+    for (const auto link : touched) {
+      if (auto* to = find(link)) flush(*to);
+    }
+  }
+
+  static uv_stream_t* stream(Connection& c) { return reinterpret_cast<uv_stream_t*>(&c.socket); }
+  Connection* find(Link link) {
+    const auto found = links_.find(link);
+    return found == links_.end() ? nullptr : found->second;
+  }
+
+  Connection* make(Link link) {
+    auto* connection = new Connection;  // freed when libuv has closed its handles
+    connection->inside = this;
+    connection->link = link;
+    uv_tcp_init(&loop_, &connection->socket);
+    connection->socket.data = connection;
+    links_[link] = connection;
+    return connection;
+  }
+
+  void dial(const Dial& what) {
+    auto* connection = make(what.link);
+    connection->connecting.data = connection;
+    const auto place = place_of(what.address, what.port);
+    const int code = uv_tcp_connect(&connection->connecting, &connection->socket,
+                                    reinterpret_cast<const sockaddr*>(&place), [](uv_connect_t* request, int status) {
+                                      auto* c = static_cast<Connection*>(request->data);
+                                      if (c->hung) return;
+                                      c->inside->connected(*c, status);
+                                    });
+    if (code) failed_.push_back(what.link), wake(Span(0));
+  }
+
+  void connected(Connection& c, int status) {
+    const Link link = c.link;
+    if (status < 0) return end(c, status == UV_ECONNREFUSED ? Ending::refused : Ending::reset);
+    c.connected = true;
+    uv_tcp_nodelay(&c.socket, 1);
+    read(c);
+    deliver(Connected{link});
+  }
+
+  void read(Connection& c) {
+    if (c.reading || c.hung || !c.connected) return;
+    c.reading = true;
+    uv_read_start(
+        stream(c),
+        [](uv_handle_t* h, std::size_t, uv_buf_t* buffer) {
+          auto& shared = static_cast<Connection*>(h->data)->inside->buffer_;
+          *buffer = uv_buf_init(shared.data(), static_cast<unsigned>(shared.size()));
+        },
+        [](uv_stream_t* s, ssize_t count, const uv_buf_t* buffer) {
+          auto& c = *static_cast<Connection*>(s->data);
+          if (c.hung) {
+            if (count < 0) c.inside->close(c);
+            return;  // what comes while an answer lingers is let go
+          }
+          if (count > 0) c.inside->deliver(Received{c.link, {buffer->base, static_cast<std::size_t>(count)}});
+          else if (count == UV_EOF) {
+            uv_read_stop(s);
+            c.reading = false;
+            c.inside->deliver(HalfClosed{c.link});
+          } else if (count < 0) {
+            c.inside->end(c, Ending::reset);
+          }
+        });
+  }
+
+  void end(Connection& c, Ending how) {
+    const Link link = c.link;
+    c.hung = true;
+    close(c);
+    deliver(Ended{link, how});
+  }
+
+  void flush(Connection& c) {
+    c.touched = false;
+    if (c.hung && !c.shut_after) return;
+    std::string bytes;
+    bytes.swap(c.out);
+    if (bytes.empty()) return;
+    std::size_t sent = 0;
+    if (!c.writing && c.connected) {
+      uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+      const int count = uv_try_write(stream(c), &buffer, 1);
+      if (count > 0) sent = static_cast<std::size_t>(count);
+    }
+    if (sent == bytes.size()) {
+      if (!c.hung) flushed_.push_back(c.link);
+      return;
+    }
+    auto* writing = new Writing;
+    writing->connection = &c;
+    writing->bytes = sent == 0 ? std::move(bytes) : bytes.substr(sent);
+    writing->request.data = writing;
+    uv_buf_t buffer = uv_buf_init(writing->bytes.data(), static_cast<unsigned>(writing->bytes.size()));
+    c.writing = true;
+    const int code = uv_write(&writing->request, stream(c), &buffer, 1, [](uv_write_t* request, int status) {
+      std::unique_ptr<Writing> done(static_cast<Writing*>(request->data));
+      auto& c = *done->connection;
+      if (uv_is_closing(reinterpret_cast<uv_handle_t*>(&c.socket))) return;
+      c.writing = stream(c)->write_queue_size > 0;
+      if (c.hung) return;
+      if (status < 0) return c.inside->end(c, Ending::reset);
+      if (!c.writing) c.inside->deliver(Flushed{c.link});
+    });
+    if (code) delete writing;
+  }
+
+  void hang(const Hang& what) {
+    auto* c = find(what.link);
+    if (!c || c->hung) return;
+    if (what.after_sending && c->connected) {
+      flush(*c);
+      c->hung = true;
+      links_.erase(c->link);
+      auto* request = new uv_shutdown_t;
+      request->data = c;
+      if (uv_shutdown(request, stream(*c), [](uv_shutdown_t* r, int) { delete r; })) {
+        delete request;
+        return close(*c);
+      }
+      uv_timer_init(&loop_, &c->linger);
+      c->linger.data = c;
+      c->lingers = true;
+      uv_timer_start(&c->linger, [](uv_timer_t* t) {
+        auto& c = *static_cast<Connection*>(t->data);
+        c.inside->close(c);
+      }, linger_ms, 0);
+      if (!c->reading) {
+        c->hung = false;
+        read(*c);
+        c->hung = true;
+      }
+      return;
+    }
+    c->hung = true;
+    close(*c, true);
+  }
+
+  void close(Connection& c, bool reset = false) {
+    if (const auto found = links_.find(c.link); found != links_.end() && found->second == &c) links_.erase(found);
+    if (uv_is_closing(reinterpret_cast<uv_handle_t*>(&c.socket))) return;
+    const auto closed = [](uv_handle_t* handle) {
+      auto* c = static_cast<Connection*>(handle->data);
+      if (--c->closing_handles == 0) delete c;
+    };
+    c.closing_handles = c.lingers ? 2 : 1;
+    if (c.lingers) uv_close(reinterpret_cast<uv_handle_t*>(&c.linger), closed);
+    if (!reset || uv_tcp_close_reset(&c.socket, closed) != 0)
+      uv_close(reinterpret_cast<uv_handle_t*>(&c.socket), closed);
+  }
+
+  void wake(Span at) {
+    const auto in = std::max<std::int64_t>(0, (at - now()).count());
+    uv_update_time(&loop_);
+    uv_timer_start(&timer_, [](uv_timer_t* t) {
+      auto* self = of(t);
+      std::vector<Link> failed;
+      failed.swap(self->failed_);
+      for (const auto link : failed) {
+        if (auto* c = self->find(link)) self->end(*c, Ending::refused);
+      }
+      self->deliver(Woken{});
+    }, static_cast<std::uint64_t>((in + 999) / 1000), 0);
+  }
+
+  void open(int door) {
+    auto& listener = doors_.at(door);
+    if (listener) return;
+    auto& place = places_.at(door);
+    const auto said = "listening at " + place.address + ":" + std::to_string(place.port);
+    listener = new Listener;
+    listener->inside = this;
+    listener->door = door;
+    uv_tcp_init(&loop_, &listener->socket);
+    listener->socket.data = listener;
+    const auto address = place_of(place.address, place.port);
+    int code = uv_tcp_bind(&listener->socket, reinterpret_cast<const sockaddr*>(&address), 0);
+    if (!code) code = uv_listen(reinterpret_cast<uv_stream_t*>(&listener->socket), backlog, [](uv_stream_t* s, int status) {
+      auto* l = static_cast<Listener*>(s->data);
+      if (status == 0) l->inside->accept(*l);
+    });
+    if (code) {
+      shut(door);
+      fail(said, code);
+    }
+    sockaddr_in bound{};
+    int size = sizeof bound;
+    uv_tcp_getsockname(&listener->socket, reinterpret_cast<sockaddr*>(&bound), &size);
+    place.port = ntohs(bound.sin_port);
+  }
+
+  void shut(int door) {
+    auto*& listener = doors_.at(door);
+    if (!listener) return;
+    uv_close(reinterpret_cast<uv_handle_t*>(&listener->socket),
+             [](uv_handle_t* handle) { delete static_cast<Listener*>(handle->data); });
+    listener = nullptr;
+  }
+
+  void accept(Listener& listener) {
+    while (next_accepted_ < first_accepted || links_.contains(next_accepted_)) ++next_accepted_;
+    auto* c = make(next_accepted_++);
+    if (uv_accept(reinterpret_cast<uv_stream_t*>(&listener.socket), stream(*c))) {
+      c->hung = true;
+      return close(*c);
+    }
+    c->connected = true;
+    uv_tcp_nodelay(&c->socket, 1);
+    const Link link = c->link;
+    deliver(Accepted{link, listener.door});
+    if (auto* still = find(link)) read(*still);
+  }
+
+  // Written beside and moved into place, so that a reader finds the old file or the new one, whole.
+  void store(const Store& what) {
+    if (folder_.empty()) return;
+    const auto path = folder_ + "/" + what.name;
+    const auto beside = path + ".new";
+    std::FILE* file = std::fopen(beside.c_str(), "wb");
+    bool whole = file && std::fwrite(what.bytes.data(), 1, what.bytes.size(), file) == what.bytes.size();
+    if (file) whole = std::fclose(file) == 0 && whole;
+    if (whole && std::rename(beside.c_str(), path.c_str()) == 0) return;
+    if (said_) said_(now(), Say{"store_failed", {{"file", path}, {"cause", std::string(std::strerror(errno))}}});
+  }
+
+  Core& core_;
+  std::function<void(Span, const Say&)> said_;
+  std::string folder_;
+  uv_loop_t loop_{};
+  uv_timer_t timer_{};
+  uv_prepare_t prepare_{};
+  uv_check_t check_{};
+  std::array<uv_signal_t, 2> signals_{};
+  std::uint64_t origin_ = 0;
+  Span time_{0};
+  bool time_read_ = false;
+  std::vector<Listening> places_;
+  std::vector<Listener*> doors_;
+  std::unordered_map<Link, Connection*> links_;
+  Link next_accepted_ = first_accepted;
+  std::vector<Link> flushed_, failed_;
+  std::array<char, read_size> buffer_;
+};
+
+Loop::Loop(Core& core, std::vector<Listening> doors, std::function<void(Span, const Say&)> said, std::string folder)
+    : inside_(std::make_unique<Inside>(core, std::move(doors), std::move(said), std::move(folder))) {}
+Loop::~Loop() = default;
+std::uint16_t Loop::port(int door) const { return inside_->port(door); }
+void Loop::run() { inside_->run(); }
+Span Loop::now() const { return inside_->now(); }
+std::uint64_t Loop::machine_clock_us() { return uv_hrtime() / 1000; }
+std::uint64_t Loop::origin_us() const { return inside_->origin(); }
+
+}  // namespace violettide::runtime
--- /dev/null
+++ b/src/runtime/runtime.h
@@ -0,0 +1,46 @@
+// Drives one core with libuv: the only package that touches sockets, timers, signals and files. What a
+// core decides it does; it decides nothing itself.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "seams/seams.h"
+
+namespace violettide::runtime {
+
+struct Listening {
+  std::string address;
+  std::uint16_t port = 0;  // 0: any that is free
+};
+
+// A door that could not be opened, or a loop that could not be made: says which and why.
+struct Failed {
+  std::string what;
+};
+
+class Loop {
+ public:
+  // `said`: takes the core's log lines. `folder`: where Store puts its files; empty: nowhere.
+  // Doors in the core's numbering. Throws Failed.
+  Loop(Core& core, std::vector<Listening> doors, std::function<void(Span, const Say&)> said, std::string folder);
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  std::uint16_t port(int door) const;  // as bound
+  // Until the core leaves. SIGINT and SIGTERM reach it as StopAsked.
+  void run();
+  // The time that the core is given: microseconds of the machine's monotonic clock since `origin`.
+  Span now() const;
+  static std::uint64_t machine_clock_us();  // the same in all processes of a machine
+  std::uint64_t origin_us() const;
+
+ private:
+  class Inside;
+  std::unique_ptr<Inside> inside_;
+};
+
+}  // namespace violettide::runtime
--- /dev/null
+++ b/src/seams/seams.h
@@ -0,0 +1,61 @@
+// What passes between a core and whatever drives it: libuv in service, a virtual clock and network in
+// rehearsals. A core is a function of time and happenings; it owns no socket, clock or file.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace violettide {
+
+using Span = std::chrono::microseconds;
+
+// A connection. The driver numbers accepted ones from `first_accepted` up, a core those it dials below it.
+using Link = std::uint32_t;
+constexpr Link first_accepted = 1u << 31;
+
+enum class Ending { finished, refused, reset };
+
+struct Accepted { Link link; int door; };  // `door`: the listening place, in the order listened on
+struct Connected { Link link; };
+struct Received { Link link; std::string_view bytes; };  // bytes live as long as the call
+struct HalfClosed { Link link; };                        // the peer writes no more
+struct Ended { Link link; Ending how; };                 // never after the core's own Hang
+struct Flushed { Link link; };                           // all that was sent has left for the kernel
+struct Woken {};                                         // the time asked for by WakeAt has come
+struct StopAsked {};
+using Happening = std::variant<Accepted, Connected, Received, HalfClosed, Ended, Flushed, Woken, StopAsked>;
+
+struct Dial { Link link; std::string address; std::uint16_t port; };
+struct Send { Link link; std::string bytes; };
+struct Hang { Link link; bool after_sending; };  // not after sending: unsent bytes are lost, the peer reset
+struct Hold { Link link; };                      // read no more from it, so that its sender feels it
+struct Resume { Link link; };
+struct WakeAt { Span at; };                      // replaces an earlier one
+struct Open { int door; };                       // listen again at a door that was shut
+struct Shut { int door; };                       // refuse connections at it
+struct Store { std::string name; std::string bytes; };  // keep as a whole or not at all
+using Field = std::pair<std::string, std::variant<std::int64_t, double, std::string>>;
+struct Say { std::string event; std::vector<Field> fields; };  // one log line
+struct Leave {};                                               // the core is done; end the loop
+using Act = std::variant<Dial, Send, Hang, Hold, Resume, WakeAt, Open, Shut, Store, Say, Leave>;
+
+class Core {
+ public:
+  virtual ~Core() = default;
+  // `now` never goes back. Appends what is to be done, in order.
+  virtual void handle(Span now, const Happening& what, std::vector<Act>& acts) = 0;
+};
+
+template <typename... Visitors>
+struct Visit : Visitors... {
+  using Visitors::operator()...;
+};
+template <typename... Visitors>
+Visit(Visitors...) -> Visit<Visitors...>;
+
+}  // namespace violettide
--- /dev/null
+++ b/src/settings/deployment.cpp
@@ -0,0 +1,222 @@
+#include "settings/deployment.h"
+
+#include <algorithm>
+
+namespace violettide::settings {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+template <typename Held>
+std::optional<Value> as(Held held) { return Value{std::move(held), {}}; }
+std::optional<Value> of(double value) { return as(value); }
+std::optional<Value> count(std::int64_t value) { return as(value); }
+constexpr std::nullopt_t given = std::nullopt;
+constexpr double day_s = 86400;
+
+}  // namespace
+
+std::vector<Builtin> deployment_builtins() {
+  using enum Wants;
+  return {
+      {"ladder", {{"rates", rates, given, 0.001, 1e9}, {"revenue", numbers, given, 0, 1e9}}, true},
+      {"plan",
+       {{"name", text, given},
+        {"startup_target", span, given, 0.001, day_s},
+        {"abandon", span, given, 0.001, day_s},
+        {"revenue", number, of(1), 0, 1e9},
+        {"rate_scale", number, of(1), 0.001, 1000},
+        {"floor", whole, count(0), 0, 64},
+        {"top", whole, count(64), 0, 64},
+        {"seats", whole, count(0), 0, 1e6},
+        {"pay_at_setup", flag, as(false)}}},
+      {"hall", {{"name", text, given}}},
+      {"kind", {{"streams", whole, given, 1, 1e6}}},
+      {"fleet",
+       {{"cells", whole, given, 1, 1e5},
+        {"racks", whole, given, 1, 1e5},
+        {"copies", whole, count(3), 1, 1e5},
+        {"link", rate, given, 0.001, 1e9},
+        {"uplink", rate, as(Rate{0}), 0, 1e9},
+        {"weights_told", flag, as(true)}},
+       true},
+      {"rules",
+       {{"cold", span, as(Span(0)), 0, day_s},
+        {"cold_from", part, of(1)},
+        {"overload_multiple", number, of(1), 0.01, 1000},
+        {"fall", span, as(Span(3s)), 0.001, day_s},
+        {"drain_grace", span, as(Span(2s)), 0, day_s},
+        {"tries", whole, count(5), 1, 100},
+        {"budget_window", span, as(Span(0)), 0, day_s},
+        {"budget_free", number, of(0), 0, 1e6},
+        {"budget_share", part, of(0)},
+        {"longest_come_back", span, as(Span(2s)), 0, day_s}},
+       true},
+      {"probes", {{"allowed", flag, as(true)}, {"price", number, of(0), 0, 1000}, {"limit", span, as(Span(250ms)), 0.001, 60}}, true},
+      {"objects", {{"length", span, given, 0.05, 60}, {"note_lag", span, as(Span(1s)), 0, 60}, {"switch_cost", span, as(Span(500ms)), 0, 60}}, true},
+      {"box_list", {{"address", text, as(std::string("127.0.0.1"))}, {"port", whole, count(0), 0, 65535}, {"every", span, as(Span(500ms)), 0.01, 3600}}, true},
+      {"listen", {{"address", text, as(std::string("127.0.0.1"))}, {"port", whole, count(0), 0, 65535}}, true},
+      {"front",
+       {{"name", text, as(std::string("front"))},
+        {"hall", text, as(std::string())},
+        {"fronts", whole, count(1), 1, 1e5},
+        {"crossing_price", number, of(0), 0, 1000},
+        {"keep_in", text, as(std::string())}},
+       true},
+      {"limits",
+       {{"viewer_links", whole, count(10000), 1, 1e6},
+        {"links_per_box", whole, count(256), 1, 1e5},
+        {"idle_links_per_box", whole, count(16), 0, 1e5},
+        {"unsent", whole, count(256 * 1024), 1024, 1e9},
+        {"header_bytes", whole, count(16 * 1024), 512, 1e7},
+        {"fields", whole, count(100), 4, 1e4},
+        {"connect", span, as(Span(250ms)), 0.001, 60},
+        {"silence", span, as(Span(10s)), 0.1, day_s},
+        {"stop", span, as(Span(5s)), 0.01, 3600}},
+       true},
+      {"recording",
+       {{"title", text, given}, {"first_cell", whole, given, 0, 1e5}, {"copies", whole, count(3), 1, 1e5}, {"length", span, as(Span(0)), 0, day_s}}},
+  };
+}
+
+std::variant<Deployment, Mistakes> deployment_of(const std::vector<Call>& calls) {
+  Deployment made;
+  Mistakes mistakes;
+  auto& front = made.front;
+  auto& site = front.site;
+  const Call* ladder = nullptr;
+  const Call* fleet = nullptr;
+  const Call* objects = nullptr;
+  const Call* own = nullptr;
+  const auto wrong = [&](const Place& place, std::string cause) { mistakes.push_back({place, std::move(cause)}); };
+  for (const auto& call : calls) {
+    if (call.name == "ladder") {
+      ladder = &call;
+      site.rung_kb = call.rates("rates");
+      site.rung_revenue = call.numbers("revenue");
+      if (site.rung_kb.empty()) wrong(call.place_of("rates"), "a ladder has one rung at least");
+      if (site.rung_kb.size() != site.rung_revenue.size())
+        wrong(call.place_of("revenue"), "the ladder has " + std::to_string(site.rung_kb.size()) + " rates and " +
+                                            std::to_string(site.rung_revenue.size()) + " revenues");
+      if (!std::is_sorted(site.rung_kb.begin(), site.rung_kb.end()))
+        wrong(call.place_of("rates"), "the rates of a ladder rise from rung to rung");
+    } else if (call.name == "plan") {
+      manager::Plan plan{call.text("name"), call.span("abandon")};
+      PlanTerms terms;
+      terms.startup_target = call.span("startup_target");
+      terms.pay_at_setup = call.flag("pay_at_setup");
+      terms.revenue = call.number("revenue");
+      terms.rate_scale = call.number("rate_scale");
+      terms.floor = static_cast<int>(call.whole("floor"));
+      terms.top = static_cast<int>(call.whole("top"));
+      terms.seats = static_cast<int>(call.whole("seats"));
+      if (plan.abandon < terms.startup_target) wrong(call.place_of("abandon"), "viewers would leave before the startup target");
+      if (plan.name.empty() || plan.name.find('/') != std::string::npos) wrong(call.place_of("name"), "a plan's name is a part of a path");
+      for (const auto& other : front.plans) {
+        if (other.name == plan.name) wrong(call.place_of("name"), "two plans named '" + plan.name + "'");
+      }
+      front.plans.push_back(std::move(plan));
+      site.plans.push_back(terms);
+    } else if (call.name == "hall") {
+      if (std::find(front.halls.begin(), front.halls.end(), call.text("name")) != front.halls.end())
+        wrong(call.place_of("name"), "two halls named '" + call.text("name") + "'");
+      front.halls.push_back(call.text("name"));
+    } else if (call.name == "kind") {
+      site.kind_streams.push_back(static_cast<double>(call.whole("streams")));
+    } else if (call.name == "fleet") {
+      fleet = &call;
+      site.cells = static_cast<int>(call.whole("cells"));
+      site.racks = static_cast<int>(call.whole("racks"));
+      front.copies = static_cast<int>(call.whole("copies"));
+      made.link_kb = site.link_kb_per_weight = call.kb_per_s("link");
+      made.uplink_kb = site.uplink_kb = call.kb_per_s("uplink");
+      site.weights_told = call.flag("weights_told");
+      if (front.copies > site.cells) wrong(call.place_of("copies"), "more copies than cells");
+    } else if (call.name == "rules") {
+      site.cold_time = call.span("cold");
+      site.cold_from = call.number("cold_from");
+      site.overload_multiple = call.number("overload_multiple");
+      made.fall = call.span("fall");
+      made.drain_grace = call.span("drain_grace");
+      site.most_tries = static_cast<int>(call.whole("tries"));
+      site.budget_window = call.span("budget_window");
+      site.budget_free = call.number("budget_free");
+      site.budget_share = call.number("budget_share");
+      site.longest_come_back = call.span("longest_come_back");
+    } else if (call.name == "probes") {
+      site.may_probe = call.flag("allowed");
+      site.probe_price = call.number("price");
+      front.probe_limit = call.span("limit");
+    } else if (call.name == "objects") {
+      objects = &call;
+      front.object_length = call.span("length");
+      site.note_lag = call.span("note_lag");
+      site.switch_cost = call.span("switch_cost");
+    } else if (call.name == "box_list") {
+      front.list_address = call.text("address");
+      front.list_port = static_cast<std::uint16_t>(call.whole("port"));
+      front.list_every = call.span("every");
+    } else if (call.name == "listen") {
+      made.listen_address = call.text("address");
+      made.listen_port = static_cast<std::uint16_t>(call.whole("port"));
+    } else if (call.name == "front") {
+      own = &call;
+      front.name = call.text("name");
+      site.fronts = static_cast<int>(call.whole("fronts"));
+      site.crossing_price = call.number("crossing_price");
+      made.keep_in = call.text("keep_in");
+    } else if (call.name == "limits") {
+      front.viewer_links = static_cast<std::size_t>(call.whole("viewer_links"));
+      front.links_per_box = static_cast<std::size_t>(call.whole("links_per_box"));
+      front.idle_links_per_box = static_cast<std::size_t>(call.whole("idle_links_per_box"));
+      front.most_unsent = static_cast<std::size_t>(call.whole("unsent"));
+      front.http.header_bytes = static_cast<std::uint32_t>(call.whole("header_bytes"));
+      front.http.fields = static_cast<std::size_t>(call.whole("fields"));
+      front.connect_limit = call.span("connect");
+      front.silence = call.span("silence");
+      front.stop_limit = call.span("stop");
+    } else if (call.name == "recording") {
+      manager::Recording recording{call.text("title"), {static_cast<int>(call.whole("first_cell")), static_cast<int>(call.whole("copies")), {}}};
+      if (const auto length = call.span("length"); length > Span(0)) recording.holders.length = length;
+      front.recordings.push_back(std::move(recording));
+    }
+  }
+  const Place whole_file = calls.empty() ? Place{} : Place{calls.front().place.file, 1, 1};
+  if (!ladder) wrong(whole_file, "the settings lack 'ladder'");
+  if (!fleet) wrong(whole_file, "the settings lack 'fleet'");
+  if (!objects) wrong(whole_file, "the settings lack 'objects'");
+  if (front.plans.empty()) wrong(whole_file, "the settings lack a 'plan'");
+  if (front.halls.empty()) wrong(whole_file, "the settings lack a 'hall'");
+  if (site.kind_streams.empty()) wrong(whole_file, "the settings lack a 'kind' of box");
+  const int last = static_cast<int>(site.rung_kb.size()) - 1;
+  std::size_t plan = 0;
+  for (const auto& call : calls) {
+    if (call.name != "plan" || plan >= site.plans.size()) continue;
+    auto& terms = site.plans[plan++];
+    if (ladder && terms.floor > last) wrong(call.place_of("floor"), "the ladder's last rung is " + std::to_string(last));
+    terms.top = std::clamp(terms.top, 0, std::max(0, last));
+    if (terms.top < terms.floor) wrong(call.place_of("top"), "the top rung lies under the floor");
+  }
+  if (own && !own->text("hall").empty()) {
+    const auto at = std::find(front.halls.begin(), front.halls.end(), own->text("hall"));
+    if (at == front.halls.end()) wrong(own->place_of("hall"), "no hall named '" + own->text("hall") + "'");
+    else site.own_hall = static_cast<int>(at - front.halls.begin());
+  }
+  std::stable_sort(front.recordings.begin(), front.recordings.end(), [](auto& a, auto& b) { return a.title < b.title; });
+  for (std::size_t i = 1; i < front.recordings.size(); ++i) {
+    if (front.recordings[i].title == front.recordings[i - 1].title)
+      wrong(whole_file, "two recordings titled '" + front.recordings[i].title + "'");
+  }
+  if (!mistakes.empty()) return mistakes;
+  return made;
+}
+
+std::variant<Deployment, Mistakes> read_deployment(const std::string& path, const Files& files) {
+  const auto builtins = deployment_builtins();
+  auto read = read_script(path, builtins, files);
+  if (!read.mistakes.empty()) return std::move(read.mistakes);
+  return deployment_of(read.calls);
+}
+
+}  // namespace violettide::settings
--- /dev/null
+++ b/src/standins/day.cpp
@@ -0,0 +1,178 @@
+#include "standins/day.h"
+
+#include <algorithm>
+#include <random>
+
+namespace violettide::standins {
+
+namespace {
+
+using namespace std::chrono_literals;
+using settings::Value;
+
+struct IllName {
+  Ill ill;
+  const char* name;
+};
+constexpr IllName ill_names[] = {
+    {Ill::crash, "crash"}, {Ill::vanish, "vanish"}, {Ill::hang, "hang"}, {Ill::slow, "slow"}, {Ill::ageing, "ageing"},
+    {Ill::neighbour, "neighbour"}, {Ill::drain, "drain"}, {Ill::answer_lost, "answer_lost"}, {Ill::false_cmsd, "false_cmsd"},
+    {Ill::report_late, "report_late"}, {Ill::list_late, "list_late"}, {Ill::list_down, "list_down"}, {Ill::crowd, "crowd"},
+    {Ill::roll, "roll"}, {Ill::stall, "stall"}};
+
+template <typename Held>
+std::optional<Value> as(Held held) { return Value{std::move(held), {}}; }
+
+std::vector<settings::Builtin> day_builtins() {
+  using enum settings::Wants;
+  auto all = settings::deployment_builtins();
+  const std::vector<settings::Builtin> own{
+      {"day", {{"length", span, {}, 0.1, 600}, {"seed", whole, as(std::int64_t{1}), 0, 2e9}, {"managers", whole, as(std::int64_t{3}), 1, 32}}, true},
+      {"boxes",
+       {{"count", whole, {}, 1, 400},
+        {"spread", part, as(0.2)},
+        {"list_lag", span, as(Span(1500ms)), 0, 600},
+        {"setup_time", span, as(Span(40ms)), 0, 60},
+        {"pace", number, as(1.25), 1, 100},
+        {"vary", part, as(0.15)}},
+       true},
+      {"viewers",
+       {{"per_second", number, {}, 0.01, 10000},
+        {"least_watch", span, {}, 0.1, 86400},
+        {"most_watch", span, {}, 0.1, 86400},
+        {"titles", whole, as(std::int64_t{40}), 1, 1e6},
+        {"zipf", number, as(0.8), 0, 5},
+        {"plan_shares", numbers, as(settings::ListOf{}), 0, 1e6},
+        {"hintless", part, as(0.05)},
+        {"malformed", part, as(0.05)},
+        {"small_screens", part, as(0.2)},
+        {"returns", part, as(0.9)},
+        {"rejoin", span, as(Span(1s)), 0, 600},
+        {"crowd_title", whole, as(std::int64_t{0}), 0, 1e6}},
+       true},
+      {"trouble",
+       {{"kind", text, {}},
+        {"at", span, {}, 0, 600},
+        {"lasts", span, {}, 0, 600},
+        {"boxes", wholes, as(settings::ListOf{}), 0, 400},
+        {"managers", wholes, as(settings::ListOf{}), 0, 32},
+        {"size", number, as(0.0), 0, 1e6}}},
+  };
+  all.insert(all.end(), own.begin(), own.end());
+  return all;
+}
+
+bool of_managers(Ill ill) { return ill == Ill::roll || ill == Ill::stall; }
+bool of_none(Ill ill) { return ill == Ill::crowd || ill == Ill::list_late || ill == Ill::list_down; }
+
+}  // namespace
+
+const char* name_of(Ill ill) {
+  for (const auto& known : ill_names) {
+    if (known.ill == ill) return known.name;
+  }
+  return "?";
+}
+
+bool holds(const Day& day, const BoxTerms& box, std::string_view title) {
+  const auto at = manager::holders_of(day.deployment.front, title);
+  const int cells = std::max(1, day.deployment.front.site.cells);
+  return (box.cell - at.first_cell % cells + cells) % cells < at.cells;
+}
+
+std::variant<settings::Deployment, settings::Mistakes> read_settings(const std::string& path, const settings::Files& files) {
+  const auto builtins = day_builtins();
+  auto read = settings::read_script(path, builtins, files);
+  if (!read.mistakes.empty()) return std::move(read.mistakes);
+  return settings::deployment_of(read.calls);
+}
+
+std::variant<Day, settings::Mistakes> read_day(const std::string& path, const settings::Files& files) {
+  const auto builtins = day_builtins();
+  auto read = settings::read_script(path, builtins, files);
+  if (!read.mistakes.empty()) return std::move(read.mistakes);
+  auto deployment = settings::deployment_of(read.calls);
+  settings::Mistakes mistakes;
+  if (auto* wrong = std::get_if<settings::Mistakes>(&deployment)) mistakes = std::move(*wrong);
+  Day day;
+  if (mistakes.empty()) day.deployment = std::get<settings::Deployment>(std::move(deployment));
+  const auto wrong = [&](const settings::Place& place, std::string cause) { mistakes.push_back({place, std::move(cause)}); };
+  const settings::Call* said_day = nullptr;
+  const settings::Call* said_boxes = nullptr;
+  const settings::Call* said_viewers = nullptr;
+  for (const auto& call : read.calls) {
+    if (call.name == "day") said_day = &call;
+    if (call.name == "boxes") said_boxes = &call;
+    if (call.name == "viewers") said_viewers = &call;
+  }
+  const settings::Place whole{path, 1, 1};
+  if (!said_day) wrong(whole, "the day lacks 'day'");
+  if (!said_boxes) wrong(whole, "the day lacks 'boxes'");
+  if (!said_viewers) wrong(whole, "the day lacks 'viewers'");
+  if (!mistakes.empty()) return mistakes;
+
+  day.length = said_day->span("length");
+  day.seed = static_cast<std::uint32_t>(said_day->whole("seed"));
+  day.managers = static_cast<int>(said_day->whole("managers"));
+  day.deployment.front.site.fronts = day.managers;
+  day.list_lag = said_boxes->span("list_lag");
+  day.setup_time = said_boxes->span("setup_time");
+  day.pace = said_boxes->number("pace");
+  day.vary = said_boxes->number("vary");
+  std::minstd_rand chance(day.seed + 1);
+  const auto& site = day.deployment.front.site;
+  const double spread = said_boxes->number("spread");
+  const auto count = static_cast<int>(said_boxes->whole("count"));
+  for (int i = 0; i < count; ++i) {
+    BoxTerms box;
+    box.name = "box-" + std::to_string(i);
+    box.cell = i % site.cells;
+    box.hall = i % static_cast<int>(day.deployment.front.halls.size());
+    box.kind = i % static_cast<int>(site.kind_streams.size());
+    const double drawn = static_cast<double>(chance() % 2001) / 1000 - 1;
+    box.link_kb = day.deployment.link_kb * (1 + spread * drawn);
+    day.boxes.push_back(std::move(box));
+  }
+  const auto& v = *said_viewers;
+  auto& viewers = day.viewers;
+  viewers.per_second = v.number("per_second");
+  viewers.least_watch = v.span("least_watch");
+  viewers.most_watch = v.span("most_watch");
+  if (viewers.most_watch < viewers.least_watch) wrong(v.place_of("most_watch"), "less than 'least_watch'");
+  viewers.titles = static_cast<int>(v.whole("titles"));
+  viewers.zipf = v.number("zipf");
+  viewers.plan_shares = v.numbers("plan_shares");
+  viewers.plan_shares.resize(site.plans.size(), viewers.plan_shares.empty() ? 1 : 0);
+  viewers.hintless = v.number("hintless");
+  viewers.malformed = v.number("malformed");
+  viewers.small_screens = v.number("small_screens");
+  viewers.returns = v.number("returns");
+  viewers.rejoin = v.span("rejoin");
+  viewers.crowd_title = static_cast<int>(v.whole("crowd_title"));
+  for (const auto& call : read.calls) {
+    if (call.name != "trouble") continue;
+    Trouble trouble;
+    const auto known = std::find_if(std::begin(ill_names), std::end(ill_names), [&](auto& i) { return call.text("kind") == i.name; });
+    if (known == std::end(ill_names)) {
+      wrong(call.place_of("kind"), "no kind of trouble '" + call.text("kind") + "'");
+      continue;
+    }
+    trouble.ill = known->ill;
+    trouble.at = call.span("at");
+    trouble.lasts = call.span("lasts");
+    trouble.size = call.number("size");
+    const char* whom = of_managers(trouble.ill) ? "managers" : "boxes";
+    const int most = of_managers(trouble.ill) ? day.managers : count;
+    for (const auto number : call.wholes(whom)) {
+      if (number >= most) wrong(call.place_of(whom), "there are " + std::to_string(most) + " " + whom + ", numbered from 0");
+      trouble.whom.push_back(static_cast<int>(number));
+    }
+    if (!of_none(trouble.ill) && trouble.whom.empty())
+      wrong(call.place, std::string("'") + known->name + "' lacks whom it befalls: '" + whom + "'");
+    day.troubles.push_back(std::move(trouble));
+  }
+  if (!mistakes.empty()) return mistakes;
+  return day;
+}
+
+}  // namespace violettide::standins
--- /dev/null
+++ b/src/standins/day.h
@@ -0,0 +1,79 @@
+// A day's script: the deployment, its boxes, its viewers and the troubles that befall them.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "settings/deployment.h"
+
+namespace violettide::standins {
+
+using settings::Span;
+
+struct BoxTerms {
+  std::string name;
+  int hall = 0, cell = 0, kind = 0;
+  double link_kb = 0;  // true
+  double weight = 1;   // as the list tells
+};
+
+// Kinds of trouble. Those of bench days are named as there; docs/operate/days.md maps them.
+enum class Ill {
+  crash,         // the process dies: connections reset, refused until it is back, cold
+  vanish,        // the machine goes silent; back cold
+  hang,          // takes work, answers nothing
+  slow,          // link and set-ups `size` times slower
+  ageing,        // slower and slower, then dead, back cold
+  neighbour,     // another program takes `size` of the link, seconds on and off
+  drain,         // the list says draining; `size` seconds later the process is gone, back cold at the end
+  answer_lost,   // a set-up runs, its answer never comes
+  false_cmsd,    // the box tells a util of `size` whatever it does
+  report_late,   // the box's CMSD is `size` seconds old
+  list_late,     // the list is `size` seconds further behind
+  list_down,     // the list service answers nothing
+  crowd,         // `size` more viewers a second come for one title
+  roll,          // managers killed one after another, `size` seconds down
+  stall,         // managers stand still
+};
+struct Trouble {
+  Ill ill = Ill::crash;
+  Span at{0}, lasts{0};
+  std::vector<int> whom;  // boxes or managers, by number
+  double size = 0;
+};
+
+struct ViewerTerms {
+  double per_second = 4;
+  Span least_watch{0}, most_watch{0};
+  int titles = 40;
+  double zipf = 0.8;
+  std::vector<double> plan_shares;
+  double hintless = 0;   // part of the viewers that send no CMCD
+  double malformed = 0;  // and that send malformed ones
+  double small_screens = 0.2;
+  double returns = 0.9;  // chance to come again after a refusal or a break
+  Span rejoin{1'000'000};
+  int crowd_title = 0;
+};
+
+struct Day {
+  settings::Deployment deployment;
+  Span length{0};
+  std::uint32_t seed = 1;
+  int managers = 3;
+  std::vector<BoxTerms> boxes;
+  Span list_lag{1'500'000};
+  Span setup_time{40'000};
+  double pace = 1.25;   // an object is sent at so many times its rate
+  double vary = 0.15;   // true rates leave the ladder by so much
+  ViewerTerms viewers;
+  std::vector<Trouble> troubles;
+};
+
+std::variant<Day, settings::Mistakes> read_day(const std::string& path, const settings::Files& files = settings::file_text);
+// The deployment alone: a day's file is a settings file too.
+std::variant<settings::Deployment, settings::Mistakes> read_settings(const std::string& path, const settings::Files& files = settings::file_text);
+const char* name_of(Ill ill);
+bool holds(const Day& day, const BoxTerms& box, std::string_view title);
+
+}  // namespace violettide::standins
--- /dev/null
+++ b/src/standins/fleet.cpp
@@ -0,0 +1,464 @@
+#include "standins/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+#include "hints/cmcd.h"
+#include "hints/cmsd.h"
+
+namespace violettide::standins {
+
+namespace {
+
+using namespace std::chrono_literals;
+constexpr Span step_every = 10ms;
+constexpr Span told_every = 200ms;      // how often a box's figures are taken anew
+constexpr double fall_slack = 2;        // set-ups, for chance, as the rule is counted
+constexpr Span notice = 500ms;          // until the list service sees that a process died
+
+double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
+
+}  // namespace
+
+Fleet::Fleet(Day day, std::vector<std::uint16_t> ports, Span to_day, Sink sink)
+    : day_(std::move(day)), ports_(std::move(ports)), to_day_(to_day), sink_(std::move(sink)), boxes_(day_.boxes.size()), chance_(day_.seed + 2) {
+  for (auto& box : boxes_) box.started = -std::chrono::hours(1);
+}
+
+void Fleet::put(trace::Passed::Kind kind, int box, const Peer* peer, int status) {
+  trace::Passed record;
+  record.set_at_us(clock_offset_ + static_cast<std::uint64_t>(now_.count()));
+  record.set_kind(kind);
+  record.set_box(day_.boxes[box].name);
+  record.set_status(status);
+  record.set_number(static_cast<std::uint64_t>(boxes_[box].incarnation));
+  if (peer) {
+    record.set_manager(peer->via);
+    record.set_trace(peer->trace);
+    record.set_sid(peer->sid);
+    record.set_plan(peer->plan_name);
+    record.set_title(peer->title);
+    record.set_rung(peer->rung);
+  }
+  sink_(record);
+}
+
+void Fleet::handle(Span now, const Happening& what, std::vector<Act>& acts) {
+  const bool first = list_history_.empty();
+  now_ = std::max(now_, now);
+  if (first) {
+    stepped_ = now_;
+    record_list();
+    list_history_.front().visible_at = -std::chrono::hours(1);
+    for (int i = 0; i < static_cast<int>(boxes_.size()); ++i) put(trace::Passed::UP, i, nullptr, 1);
+    acts.push_back(WakeAt{now_ + step_every});
+  }
+  std::visit(Visit{
+                 [&](const Accepted& a) {
+                   auto& peer = peers_[a.link];
+                   peer.door = a.door;
+                 },
+                 [&](const Received& r) {
+                   const auto found = peers_.find(r.link);
+                   if (found == peers_.end()) return;
+                   found->second.reader.push(r.bytes);
+                   if (!found->second.busy) requests(r.link, found->second, acts);
+                 },
+                 [&](const HalfClosed& h) {
+                   const auto found = peers_.find(h.link);
+                   if (found == peers_.end()) return;
+                   if (found->second.set_up) put(trace::Passed::TRY_ENDED, found->second.door, &found->second, 0);
+                   acts.push_back(Hang{h.link, false});
+                   peers_.erase(found);
+                 },
+                 [&](const Ended& e) {
+                   const auto found = peers_.find(e.link);
+                   if (found == peers_.end()) return;
+                   if (found->second.set_up) put(trace::Passed::TRY_ENDED, found->second.door, &found->second, 0);
+                   peers_.erase(found);
+                 },
+                 [&](const Woken&) {},
+                 [&](const StopAsked&) {
+                   stopping_ = true;
+                   acts.push_back(Leave{});
+                 },
+                 [&](const auto&) {},
+             },
+             what);
+  if (now_ - stepped_ >= step_every) {
+    live_through_troubles(acts);
+    step(acts);
+    acts.push_back(WakeAt{now_ + step_every});
+  }
+}
+
+// ---- troubles ----
+
+const Trouble* Fleet::ill_with(int box, Ill ill) const {
+  for (const auto& trouble : day_.troubles) {
+    if (trouble.ill != ill || day_now() < trouble.at || day_now() >= trouble.at + trouble.lasts) continue;
+    if (trouble.whom.empty() || std::find(trouble.whom.begin(), trouble.whom.end(), box) != trouble.whom.end()) return &trouble;
+  }
+  return nullptr;
+}
+
+void Fleet::live_through_troubles(std::vector<Act>& acts) {
+  for (std::size_t t = 0; t < day_.troubles.size(); ++t) {
+    const auto& trouble = day_.troubles[t];
+    const Span since = day_now() - trouble.at;
+    for (const int box : trouble.whom) {
+      const bool begins = since >= 0s && !begun_.contains({t, box});
+      const bool ends = since >= trouble.lasts && !ended_.contains({t, box});
+      if (trouble.ill == Ill::drain) {
+        // `size` seconds after the notice the process goes; it comes back when the trouble ends.
+        if (begins) boxes_[box].drained = true, begun_.insert({t, box}), record_list();
+        if (since >= std::chrono::duration<double>(trouble.size) && begun_.contains({t, box}) && boxes_[box].drained && boxes_[box].up && !ends && since < trouble.lasts)
+          go_down(box, acts, false);
+        if (ends) ended_.insert({t, box}), come_up(box, acts);
+      } else if (trouble.ill == Ill::crash || trouble.ill == Ill::vanish || trouble.ill == Ill::ageing) {
+        const bool dies = trouble.ill == Ill::ageing ? since >= trouble.lasts / 2 && !boxes_[box].ageing_died : begins;
+        if (begins) begun_.insert({t, box});
+        if (dies && !ends && boxes_[box].up) {
+          boxes_[box].ageing_died = trouble.ill == Ill::ageing;
+          go_down(box, acts, trouble.ill == Ill::vanish);
+        }
+        if (ends) ended_.insert({t, box}), come_up(box, acts);
+      }
+    }
+  }
+}
+
+void Fleet::go_down(int number, std::vector<Act>& acts, bool silent) {
+  auto& box = boxes_[number];
+  box.up = false;
+  box.sessions.clear();
+  put(trace::Passed::DOWN, number, nullptr);
+  record_list();
+  if (silent) return;  // a machine that vanished neither refuses nor resets
+  acts.push_back(Shut{number});
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    if (it->second.door != number) {
+      ++it;
+      continue;
+    }
+    if (it->second.set_up) put(trace::Passed::TRY_ENDED, number, &it->second, -1);
+    acts.push_back(Hang{it->first, false});
+    it = peers_.erase(it);
+  }
+}
+
+void Fleet::come_up(int number, std::vector<Act>& acts) {
+  auto& box = boxes_[number];
+  box.drained = box.ageing_died = false;
+  if (box.up) return record_list();
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    if (it->second.door != number) {
+      ++it;
+      continue;
+    }
+    if (it->second.set_up) put(trace::Passed::TRY_ENDED, number, &it->second, -1);
+    acts.push_back(Hang{it->first, false});
+    it = peers_.erase(it);
+  }
+  box.up = true;
+  box.cold = true;
+  box.started = day_now();
+  ++box.incarnation;
+  box.set_ups.clear();
+  box.told_at = -10s;
+  acts.push_back(Open{number});
+  put(trace::Passed::UP, number, nullptr);
+  record_list();
+}
+
+// ---- the model of a box ----
+
+double Fleet::slowness(int box) const {
+  double slower = 1;
+  if (const auto* trouble = ill_with(box, Ill::slow)) slower = std::max(1.0, trouble->size);
+  if (const auto* trouble = ill_with(box, Ill::ageing)) {
+    const double aged = seconds(day_now() - trouble->at) / std::max(0.1, seconds(trouble->lasts) / 2);
+    slower = std::max(slower, 1 + std::min(1.0, aged) * (std::max(2.0, trouble->size) - 1));
+  }
+  return slower;
+}
+
+double Fleet::warmth(const Box& box) const {
+  const auto& site = day_.deployment.front.site;
+  if (!box.cold || site.cold_time <= 0s) return 1;
+  const double age = seconds(day_now() - box.started) / seconds(site.cold_time);
+  if (age >= 1) return 1;
+  return site.cold_from + (1 - site.cold_from) * age * age;
+}
+
+double Fleet::link_of(int number) const {
+  double link = day_.boxes[number].link_kb * warmth(boxes_[number]) / slowness(number);
+  if (const auto* trouble = ill_with(number, Ill::neighbour)) {
+    const auto phase = static_cast<int>(seconds(day_now() - trouble->at) / 2.5);
+    if (phase % 2 == 0) link *= 1 - std::min(0.95, trouble->size);
+  }
+  return link;
+}
+
+bool Fleet::mute(int box) const { return !boxes_[box].up || ill_with(box, Ill::hang) || ill_with(box, Ill::vanish); }
+
+double Fleet::asked_of(int number) const {
+  const auto& site = day_.deployment.front.site;
+  double asked = 0;
+  for (const auto& [sid, session] : boxes_[number].sessions)
+    asked += site.rung_kb[session.rung] * site.plans[session.plan].rate_scale;
+  return asked;
+}
+
+// More set-ups within the stated time than a cold process stands.
+bool Fleet::pushed_over(int number) {
+  auto& box = boxes_[number];
+  const auto& site = day_.deployment.front.site;
+  if (!box.cold || day_now() - box.started >= site.cold_time) return false;
+  const Span fall = day_.deployment.fall;
+  std::erase_if(box.set_ups, [&](Span at) { return at <= day_now() - fall; });
+  box.set_ups.push_back(day_now());
+  const double pace = site.kind_streams[day_.boxes[number].kind] / seconds(site.cold_time) * warmth(box) * site.overload_multiple;
+  return static_cast<double>(box.set_ups.size()) > pace * seconds(fall) + fall_slack;
+}
+
+std::string Fleet::cmsd_of(int number) {
+  auto& box = boxes_[number];
+  if (day_now() - box.told_at >= told_every) {
+    box.told_at = day_now();
+    box.told_util = asked_of(number) / std::max(1.0, link_of(number));
+    box.told_streams = static_cast<std::int64_t>(box.sessions.size());
+    const auto racks = std::max(1, day_.deployment.front.site.racks);
+    double asked = 0;
+    for (int i = 0; i < static_cast<int>(boxes_.size()); ++i) {
+      if (day_.boxes[i].cell % racks == day_.boxes[number].cell % racks) asked += asked_of(i);
+    }
+    box.told_uplink = day_.deployment.uplink_kb > 0 ? asked / day_.deployment.uplink_kb : 0;
+  }
+  hints::CmsdDynamic hop;
+  hop.server = day_.boxes[number].name;
+  const bool late = ill_with(number, Ill::report_late);
+  if (!late) box.old_util = box.told_util, box.old_uplink = box.told_uplink;
+  hop.util = late ? box.old_util : box.told_util;
+  if (const auto* trouble = ill_with(number, Ill::false_cmsd)) hop.util = trouble->size;
+  if (day_.deployment.uplink_kb > 0) hop.uplink = late ? box.old_uplink : box.told_uplink;
+  hop.streams = box.told_streams;
+  hop.duress = *hop.util > 1;
+  return hints::cmsd_entry(hop);
+}
+
+// ---- requests ----
+
+void Fleet::requests(Link link, Peer& peer, std::vector<Act>& acts) {
+  while (!peer.busy) {
+    auto request = peer.reader.next();
+    if (!request) {
+      if (peer.reader.fault()) acts.push_back(Hang{link, false});
+      return;
+    }
+    peer.close_after = !request->keep_alive;
+    const auto via = http::joined(request->fields, "Via");
+    const auto space = via.rfind(' ');
+    peer.via = space == std::string::npos ? "" : via.substr(space + 1);
+    if (peer.door == static_cast<int>(boxes_.size())) {
+      serve_list(link, peer, *request, acts);
+      if (!peers_.contains(link)) return;
+    } else {
+      serve_box(link, peer, *request, acts);
+      if (!peers_.contains(link)) return;
+    }
+  }
+}
+
+void Fleet::answer(Link link, Peer& peer, int status, http::Fields fields, const std::string& body, std::vector<Act>& acts) {
+  acts.push_back(Send{link, http::head_text(status, fields, body.size(), !peer.close_after) + body});
+  if (peer.close_after) acts.push_back(Hang{link, true}), peers_.erase(link);
+}
+
+void Fleet::serve_box(Link link, Peer& peer, const http::Request& request, std::vector<Act>& acts) {
+  const int number = peer.door;
+  auto& box = boxes_[number];
+  peer.set_up = false;
+  if (mute(number) && request.method == "HEAD") {
+    peer.busy = true;  // and stays so
+    return;
+  }
+  if (request.method == "HEAD") {
+    put(trace::Passed::PROBED, number, &peer);
+    acts.push_back(Send{link, http::head_text(200, {{"CMSD-Dynamic", cmsd_of(number)}}, 0, true)});
+    return;
+  }
+  const auto path = manager::read_path(day_.deployment.front, request.target);
+  const auto* media = std::get_if<manager::MediaPath>(&path);
+  if (!media || media->rung >= static_cast<int>(day_.deployment.front.site.rung_kb.size()))
+    return answer(link, peer, 404, {}, "", acts);
+  const auto hints = hints::read_cmcd(request.fields, request.target).hints;
+  const auto* trace = http::find(request.fields, "traceparent");
+  peer.trace = trace && trace->size() >= 35 ? trace->substr(3, 32) : "";
+  peer.sid = hints.session_id.value_or("");
+  peer.title = media->title;
+  peer.plan = media->plan;
+  peer.plan_name = day_.deployment.front.plans[media->plan].name;
+  peer.rung = media->rung;
+  peer.set_up = hints.startup;
+  put(peer.set_up ? trace::Passed::SET_UP : trace::Passed::SERVED, number, &peer);
+  if (!holds(day_, day_.boxes[number], media->title)) {
+    if (std::exchange(peer.set_up, false)) put(trace::Passed::TRY_ENDED, number, &peer, 404);
+    return answer(link, peer, 404, {{"CMSD-Dynamic", cmsd_of(number)}}, "", acts);
+  }
+  peer.busy = true;
+  peer.head_sent = false;
+  peer.left = peer.credit = 0;
+  if (peer.set_up && box.up && pushed_over(number)) {
+    put(trace::Passed::FELL, number, &peer);
+    go_down(number, acts, false);  // this peer too is gone now
+    return;
+  }
+  const bool full = peer.set_up && static_cast<double>(box.sessions.size()) >= day_.deployment.front.site.kind_streams[day_.boxes[number].kind] && !box.sessions.contains(peer.sid);
+  peer.status = full ? 503 : !peer.set_up && !box.sessions.contains(peer.sid) ? 404 : 200;
+  if (peer.set_up && !full) box.sessions[peer.sid] = {peer.plan, peer.rung, now_};
+  const double spread = 0.7 + 0.6 * static_cast<double>(chance_() % 1000) / 1000;
+  const double time = peer.set_up ? seconds(day_.setup_time) * slowness(number) * spread / warmth(box) : 0.001;
+  peer.answer_at = now_ + Span(static_cast<std::int64_t>(time * 1e6));
+}
+
+void Fleet::begin_object(Link link, Peer& peer, std::vector<Act>& acts) {
+  const int number = peer.door;
+  auto& box = boxes_[number];
+  const auto& front = day_.deployment.front;
+  peer.head_sent = true;
+  if (std::exchange(peer.set_up, false)) put(trace::Passed::TRY_ENDED, number, &peer, peer.status);
+  if (peer.status != 200) {
+    peer.busy = false;
+    answer(link, peer, peer.status, {{"CMSD-Dynamic", cmsd_of(number)}, {"Retry-After", "1"}}, "", acts);
+    if (peers_.contains(link)) requests(link, peer, acts);
+    return;
+  }
+  auto& session = box.sessions[peer.sid];
+  session = {peer.plan, peer.rung, now_};
+  const double rate = front.site.rung_kb[peer.rung] * front.site.plans[peer.plan].rate_scale * 1000;
+  const double varied = 1 + day_.vary * (static_cast<double>(chance_() % 2001) / 1000 - 1);
+  const auto size = static_cast<std::uint64_t>(rate * varied * seconds(front.object_length));
+  peer.left = static_cast<double>(size);
+  peer.rate = rate * varied * day_.pace;
+  hints::CmsdStatic fixed;
+  fixed.bitrate = std::llround(rate * 8 / 1000);
+  fixed.object_duration = front.object_length.count() / 1000;
+  fixed.object_type = "v";
+  fixed.stream_type = "v";
+  acts.push_back(Send{link, http::head_text(200, {{"Content-Type", "video/mp4"}, {"CMSD-Static", hints::cmsd_static(fixed)}, {"CMSD-Dynamic", cmsd_of(number)}}, size, !peer.close_after)});
+}
+
+// Time goes by: answers that are due, and bytes as far as links and uplinks give them.
+void Fleet::step(std::vector<Act>& acts) {
+  const double passed = seconds(now_ - stepped_);
+  stepped_ = now_;
+  std::vector<Link> due;
+  for (auto& [link, peer] : peers_) {
+    if (!peer.busy || peer.head_sent || peer.answer_at > now_ || mute(peer.door)) continue;
+    if (peer.set_up && ill_with(peer.door, Ill::answer_lost)) continue;  // it ran; nobody hears of it
+    due.push_back(link);
+  }
+  for (const auto link : due) {
+    if (const auto found = peers_.find(link); found != peers_.end()) begin_object(link, found->second, acts);
+  }
+  std::vector<double> asked(boxes_.size(), 0);
+  for (const auto& [link, peer] : peers_) {
+    if (peer.busy && peer.head_sent && !mute(peer.door)) asked[peer.door] += peer.rate / 1000;
+  }
+  const auto racks = static_cast<std::size_t>(std::max(1, day_.deployment.front.site.racks));
+  std::vector<double> share(boxes_.size(), 1), rack_asked(racks, 0);
+  for (std::size_t i = 0; i < boxes_.size(); ++i) {
+    if (asked[i] > 0) share[i] = std::min(1.0, link_of(static_cast<int>(i)) / asked[i]);
+    rack_asked[static_cast<std::size_t>(day_.boxes[i].cell) % racks] += asked[i] * share[i];
+  }
+  for (std::size_t i = 0; i < boxes_.size() && day_.deployment.uplink_kb > 0; ++i) {
+    const double of_rack = rack_asked[static_cast<std::size_t>(day_.boxes[i].cell) % racks];
+    if (of_rack > day_.deployment.uplink_kb) share[i] *= day_.deployment.uplink_kb / of_rack;
+  }
+  static const std::string blank(256 * 1024, 'v');
+  std::vector<Link> whole;
+  for (auto& [link, peer] : peers_) {
+    if (!peer.busy || !peer.head_sent || mute(peer.door)) continue;
+    peer.credit += peer.rate * share[peer.door] * passed;
+    const auto bytes = static_cast<std::size_t>(std::min({peer.credit, peer.left, static_cast<double>(blank.size())}));
+    if (bytes > 0) acts.push_back(Send{link, blank.substr(0, bytes)});
+    peer.credit -= static_cast<double>(bytes);
+    peer.left -= static_cast<double>(bytes);
+    if (auto& sessions = boxes_[peer.door].sessions; sessions.contains(peer.sid)) sessions[peer.sid].seen = now_;
+    if (peer.left < 1) whole.push_back(link);
+  }
+  for (const auto link : whole) {
+    const auto found = peers_.find(link);
+    if (found == peers_.end()) continue;
+    found->second.busy = false;
+    if (found->second.close_after) {
+      acts.push_back(Hang{link, true});
+      peers_.erase(found);
+    } else {
+      requests(link, found->second, acts);
+    }
+  }
+  // A session that asks for nothing for some objects' time has ended.
+  for (int i = 0; i < static_cast<int>(boxes_.size()); ++i) {
+    std::erase_if(boxes_[i].sessions, [&](const auto& entry) {
+      return now_ - entry.second.seen > std::max(day_.deployment.front.silence, 4 * day_.deployment.front.object_length);
+    });
+  }
+}
+
+// ---- the list service ----
+
+// Each change of state is seen `list_lag` later, and later still while the list is late.
+void Fleet::record_list() {
+  ListState state;
+  Span lag = day_.list_lag;
+  if (const auto* trouble = ill_with(-1, Ill::list_late)) lag += Span(static_cast<std::int64_t>(trouble->size * 1e6));
+  state.visible_at = day_now() + lag;
+  if (!list_history_.empty()) state.visible_at = std::max(state.visible_at, list_history_.back().visible_at);
+  state.revision = static_cast<std::int64_t>(list_history_.size()) + 1;
+  for (const auto& box : boxes_) {
+    state.states.push_back(box.drained ? (box.up ? "draining" : "gone") : box.up ? "ready" : "gone");
+    state.incarnations.push_back(box.incarnation);
+    state.started.push_back(box.started);
+  }
+  list_history_.push_back(std::move(state));
+}
+
+void Fleet::serve_list(Link link, Peer& peer, const http::Request& request, std::vector<Act>& acts) {
+  if (ill_with(-1, Ill::list_down)) {
+    peer.busy = true;
+    return;
+  }
+  if (request.target != "/boxes") return answer(link, peer, 404, {}, "", acts);
+  const ListState* seen = &list_history_.front();
+  for (const auto& state : list_history_) {
+    if (state.visible_at <= day_now()) seen = &state;
+  }
+  const auto etag = "\"" + std::to_string(seen->revision) + "\"";
+  const auto* known = http::find(request.fields, "If-None-Match");
+  if (known && *known == etag) return answer(link, peer, 304, {{"ETag", etag}}, "", acts);
+  nlohmann::json list{{"revision", seen->revision}, {"clock_ms", 10'000'000 + day_now().count() / 1000}};
+  auto& boxes = list["boxes"] = nlohmann::json::array();
+  for (std::size_t i = 0; i < boxes_.size(); ++i) {
+    const auto& terms = day_.boxes[i];
+    boxes.push_back({{"name", terms.name}, {"address", "127.0.0.1"}, {"port", ports_[i]}, {"state", seen->states[i]},
+                     {"kind", terms.kind}, {"cell", terms.cell}, {"hall", day_.deployment.front.halls[terms.hall]},
+                     {"weight", terms.weight}, {"started_ms", 10'000'000 + seen->started[i].count() / 1000}});
+    auto& before = told_[peer.via][terms.name];
+    // One that asks without knowing anything may have just started: it is told everything anew.
+    if (std::exchange(before, seen->states[i]) == seen->states[i] && known) continue;
+    trace::Passed record;
+    record.set_at_us(clock_offset_ + static_cast<std::uint64_t>(now_.count()));
+    record.set_kind(trace::Passed::TOLD);
+    record.set_manager(peer.via);
+    record.set_box(terms.name);
+    record.set_state(seen->states[i]);
+    record.set_number(static_cast<std::uint64_t>(seen->incarnations[i]));
+    sink_(record);
+  }
+  answer(link, peer, 200, {{"Content-Type", "application/json"}, {"ETag", etag}}, list.dump(), acts);
+}
+
+}  // namespace violettide::standins
--- /dev/null
+++ b/src/standins/fleet.h
@@ -0,0 +1,105 @@
+// Stand-in video servers and their list service, in one core: boxes with places, links and racks' uplinks
+// shared by all that plays, cold starts that fall over when pushed, and every trouble of the day. Doors: a
+// box each, then the list.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+
+#include "http/http.h"
+#include "seams/seams.h"
+#include "standins/day.h"
+#include "trace/trace.h"
+
+namespace violettide::standins {
+
+using Sink = std::function<void(const trace::Passed&)>;
+
+class Fleet : public Core {
+ public:
+  // `ports`: of the boxes' doors, for the list. `to_day`: what turns this core's time into the day's.
+  Fleet(Day day, std::vector<std::uint16_t> ports, Span to_day, Sink sink);
+  void handle(Span now, const Happening& what, std::vector<Act>& acts) override;
+  void listen_at(std::vector<std::uint16_t> ports) { ports_ = std::move(ports); }
+
+ private:
+  struct Session {
+    int plan = 0, rung = 0;
+    Span seen{0};
+  };
+  struct Box {
+    bool up = true, drained = false;
+    Span started{0};  // of the process, in the day's time
+    bool cold = false;
+    std::int64_t incarnation = 1;
+    std::map<std::string, Session> sessions;
+    std::vector<Span> set_ups;  // since its cold start
+    double told_util = 0, told_uplink = 0;
+    Span told_at = std::chrono::seconds(-10);
+    double old_util = 0, old_uplink = 0;
+    std::int64_t told_streams = 0;
+    bool ageing_died = false;
+  };
+  struct Peer {
+    int door = 0;
+    http::RequestReader reader;
+    bool busy = false, head_sent = false, set_up = false;
+    Span answer_at{0};
+    std::string sid, trace, via, title, plan_name;
+    int plan = 0, rung = 0, status = 0;
+    double left = 0;   // bytes of the object that are still to come
+    double rate = 0;   // bytes a second at which they go when the link is free
+    double credit = 0;
+    bool close_after = false;
+  };
+  struct ListState {
+    Span visible_at{0};
+    std::int64_t revision = 0;
+    std::vector<std::string> states;
+    std::vector<std::int64_t> incarnations;
+    std::vector<Span> started;
+  };
+
+  void requests(Link link, Peer& peer, std::vector<Act>& acts);
+  void serve_box(Link link, Peer& peer, const http::Request& request, std::vector<Act>& acts);
+  void serve_list(Link link, Peer& peer, const http::Request& request, std::vector<Act>& acts);
+  void answer(Link link, Peer& peer, int status, http::Fields fields, const std::string& body, std::vector<Act>& acts);
+  void begin_object(Link link, Peer& peer, std::vector<Act>& acts);
+  void step(std::vector<Act>& acts);
+  void live_through_troubles(std::vector<Act>& acts);
+  void go_down(int box, std::vector<Act>& acts, bool silent);
+  void come_up(int box, std::vector<Act>& acts);
+  void record_list();
+  const Trouble* ill_with(int box, Ill ill) const;
+  double link_of(int box) const;
+  double slowness(int box) const;
+  bool mute(int box) const;  // takes, answers nothing
+  double asked_of(int box) const;
+  std::string cmsd_of(int box);
+  double warmth(const Box& box) const;
+  bool pushed_over(int box);
+  void put(trace::Passed::Kind kind, int box, const Peer* peer, int status = 0);
+  Span day_now() const { return now_ + to_day_; }
+
+  Day day_;
+  std::vector<std::uint16_t> ports_;
+  Span to_day_;
+  Sink sink_;
+  Span now_{0}, stepped_{0};
+  std::uint64_t clock_offset_ = 0;
+  std::vector<Box> boxes_;
+  std::map<Link, Peer> peers_;
+  std::vector<ListState> list_history_;
+  std::map<std::string, std::map<std::string, std::string>> told_;  // to whom, of which box, what
+  std::set<std::pair<std::size_t, int>> begun_, ended_;  // troubles and whom
+  std::minstd_rand chance_;
+  bool stopping_ = false;
+
+ public:
+  // The machine's clock at this core's time 0, for the traces.
+  void clock_at(std::uint64_t origin_us) { clock_offset_ = origin_us; }
+};
+
+}  // namespace violettide::standins
--- /dev/null
+++ b/src/standins/viewers.cpp
@@ -0,0 +1,342 @@
+#include "standins/viewers.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+#include "hints/cmsd.h"
+
+namespace violettide::standins {
+
+namespace {
+
+using namespace std::chrono_literals;
+constexpr double most_buffer_objects = 3;
+constexpr int malformed_kinds = 6;
+
+double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
+Span span_of(double s) { return Span(static_cast<std::int64_t>(s * 1e6)); }
+std::uint64_t packed(std::uint64_t bell, std::uint32_t viewer) { return bell << 32 | viewer; }
+
+// Hints that break the specification, each in its own way; none may cost the request its one outcome.
+std::string malformed_hints(std::uint32_t number, const std::string& sid) {
+  switch (number % malformed_kinds) {
+    case 0: return "CMCD-Session: sid=unquoted\r\nCMCD-Object: br=fast,ot=zz,tb=-3\r\n";
+    case 1: return "CMCD-Request: bl=,mtp=1e9,nor=\"%zz\",,,\r\nCMCD-Session: sid=\"" + sid + "\"\r\n";
+    case 2: return "CMCD-Session: sid=\"never closed\r\nCMCD-Status: bs=maybe,rtp=\"x\"\r\n";
+    case 3: return "CMCD-Object: =1,=,;;,\"\",(a b)\r\nCMCD-Session: v=99,sid=\"\"\r\n";
+    case 4: return "CMCD-Status: bs,bs=?0,rtp=99999999999999999999\r\nCMCD-Session: sid=\"" + sid + "\",st=x,sf=?1,pr=-1\r\n";
+    default: return "CMCD-Object: \x80\xff\xfe\r\nCMCD-Request: bl=-5,dl=:bad:\r\n";
+  }
+}
+
+}  // namespace
+
+Viewers::Viewers(const Day& day, std::vector<Door> doors, Span to_day, std::uint64_t origin_us, std::function<void(const trace::Passed&)> sink)
+    : day_(day), doors_(std::move(doors)), to_day_(to_day), origin_us_(origin_us), sink_(std::move(sink)), chance_(day.seed + 3) {
+  double sum = 0;
+  for (int i = 0; i < day_.viewers.titles; ++i) zipf_.push_back(sum += std::pow(i + 1, -day_.viewers.zipf));
+}
+
+double Viewers::draw() { return static_cast<double>(chance_() - chance_.min()) / (static_cast<double>(chance_.max() - chance_.min()) + 1); }
+
+void Viewers::arm(Viewer& viewer, Span in, Bell bell) {
+  bells_.disarm(viewer.timer);
+  viewer.timer = bells_.arm(now_ + in, packed(static_cast<std::uint64_t>(bell), viewer.number));
+}
+
+void Viewers::put(trace::Passed::Kind kind, const Viewer& viewer, int status, const std::string& cause) {
+  trace::Passed record;
+  record.set_at_us(origin_us_ + static_cast<std::uint64_t>(now_.count()));
+  record.set_kind(kind);
+  record.set_manager(doors_[viewer.door].manager);
+  record.set_trace(viewer.trace);
+  record.set_sid(viewer.sid);
+  record.set_plan(day_.deployment.front.plans[viewer.plan].name);
+  record.set_title(viewer.title);
+  record.set_rung(kind == trace::Passed::OBJECT || kind == trace::Passed::ANSWERED ? viewer.rung : viewer.top);
+  record.set_status(status);
+  record.set_state(cause);
+  record.set_number(viewer.number);
+  record.set_link(viewer.link);
+  record.set_value(kind == trace::Passed::ASKED && viewer.came == now_ ? seconds(viewer.watch) : 0);
+  sink_(record);
+}
+
+void Viewers::handle(Span now, const Happening& what, std::vector<Act>& acts) {
+  now_ = std::max(now_, now);
+  if (!began_) {
+    began_ = true;
+    bells_.arm(now_, packed(static_cast<std::uint64_t>(Bell::arrival), 0));
+    bells_.arm(now_, packed(static_cast<std::uint64_t>(Bell::arrival), 1));
+  }
+  const auto of_link = [&](Link link) -> Viewer* {
+    const auto found = by_link_.find(link);
+    return found == by_link_.end() ? nullptr : &viewers_.at(found->second);
+  };
+  std::visit(Visit{
+                 [&](const Connected& c) {
+                   auto* viewer = of_link(c.link);
+                   if (!viewer) return;
+                   viewer->connected = true;
+                   acts.push_back(Send{c.link, viewer->request});
+                 },
+                 [&](const Received& r) {
+                   if (auto* viewer = of_link(r.link)) came_part(*viewer, viewer->reader.push(r.bytes), acts);
+                 },
+                 [&](const HalfClosed& h) {
+                   if (auto* viewer = of_link(h.link)) broke(*viewer, acts);
+                 },
+                 [&](const Ended& e) {
+                   if (auto* viewer = of_link(e.link)) broke(*viewer, acts);
+                 },
+                 [&](const StopAsked&) {
+                   stopping_ = true;
+                   acts.push_back(Leave{});
+                 },
+                 [&](const auto&) {},
+             },
+             what);
+  std::vector<std::uint64_t> rung;
+  bells_.advance(now_, rung);
+  for (const auto code : rung) {
+    const auto bell = static_cast<Bell>(code >> 32);
+    const auto number = static_cast<std::uint32_t>(code);
+    if (bell == Bell::arrival) {
+      arrive(acts, number == 1);
+      continue;
+    }
+    const auto found = viewers_.find(number);
+    if (found == viewers_.end()) continue;
+    auto& viewer = found->second;
+    if (bell == Bell::patience) {
+      // Its time is up: nothing that comes now counts.
+      put(trace::Passed::LEFT, viewer, 0, viewer.first ? "abandoned" : "stalled");
+      hang(viewer, acts);
+      if (draw() < day_.viewers.returns && !viewer.first) rest(viewer, day_.viewers.rejoin, acts);
+      else viewer.state = State::over;
+    } else if (bell == Bell::again) {
+      viewer.first = true;
+      ask(viewer, acts);
+    } else if (bell == Bell::next_object) {
+      ask(viewer, acts);
+    }
+    if (viewer.state == State::over) viewers_.erase(number);
+  }
+  std::erase_if(viewers_, [](const auto& entry) { return entry.second.state == State::over; });
+  if (const auto next = bells_.next()) acts.push_back(WakeAt{*next});
+}
+
+void Viewers::arrive(std::vector<Act>& acts, bool crowd) {
+  if (day_now() >= day_.length || stopping_) {
+    // What still plays when the day is long over is left; what is being set up is waited for.
+    Span over = day_.length;
+    for (const auto& plan : day_.deployment.front.plans) over = std::max(over, day_.length + plan.abandon);
+    for (auto& [number, viewer] : viewers_) {
+      if (day_now() > over && viewer.state != State::over && viewer.state != State::asking) leave(viewer, acts, "the day is over");
+    }
+    if (viewers_.empty() && !crowd) acts.push_back(Leave{});
+    else if (!crowd) bells_.arm(now_ + 100ms, packed(static_cast<std::uint64_t>(Bell::arrival), 0));
+    return;
+  }
+  double rate = crowd ? 0 : day_.viewers.per_second;
+  for (const auto& trouble : day_.troubles) {
+    if (crowd && trouble.ill == Ill::crowd && day_now() >= trouble.at && day_now() < trouble.at + trouble.lasts) rate += trouble.size;
+  }
+  const auto code = packed(static_cast<std::uint64_t>(Bell::arrival), crowd ? 1 : 0);
+  if (rate <= 0) {
+    bells_.arm(now_ + 100ms, code);
+    return;
+  }
+  bells_.arm(now_ + span_of(-std::log(1 - draw()) / rate), code);
+  if (day_now() < 0s) return;  // the day has not begun
+  Viewer viewer;
+  viewer.number = next_viewer_++;
+  const auto& terms = day_.viewers;
+  double sum = 0;
+  for (const double share : terms.plan_shares) sum += share;
+  double at = draw() * sum;
+  while (viewer.plan + 1 < static_cast<int>(terms.plan_shares.size()) && at >= terms.plan_shares[viewer.plan]) at -= terms.plan_shares[viewer.plan++];
+  const auto title = crowd ? terms.crowd_title
+                           : std::lower_bound(zipf_.begin(), zipf_.end(), draw() * zipf_.back()) - zipf_.begin();
+  viewer.title = "recording-" + std::to_string(title);
+  viewer.hall = static_cast<int>(draw() * static_cast<double>(day_.deployment.front.halls.size()));
+  const auto& plan = day_.deployment.front.site.plans[viewer.plan];
+  viewer.top = plan.top;
+  if (draw() < terms.small_screens) viewer.top = std::max(plan.floor, plan.top - 1);
+  viewer.watch = viewer.left_to_watch = terms.least_watch + span_of(draw() * seconds(terms.most_watch - terms.least_watch));
+  const double kind = draw();
+  viewer.hints = kind < terms.hintless ? 1 : kind < terms.hintless + terms.malformed ? 2 : 0;
+  char sid[40];
+  std::snprintf(sid, sizeof sid, "%08x-%04x-4000-8000-%012x", viewer.number, day_.seed & 0xffff, static_cast<unsigned>(chance_()));
+  viewer.sid = sid;
+  viewer.came = now_;
+  auto& kept = viewers_.emplace(viewer.number, std::move(viewer)).first->second;
+  ask(kept, acts);
+}
+
+void Viewers::request_text(Viewer& viewer) {
+  const auto& front = day_.deployment.front;
+  manager::MediaPath path{viewer.plan, viewer.title, 0, std::to_string(viewer.object) + ".m4s"};
+  http::Fields fields{{"Host", "front"}, {"traceparent", "00-" + viewer.trace + "-00000000000000" + (viewer.first ? "01" : "02") + "-01"}};
+  hints::Cmcd said;
+  said.session_id = viewer.sid;
+  said.object_type = hints::ObjectType::video;
+  said.object_duration = front.object_length.count() / 1000;
+  said.startup = viewer.first;
+  said.stream_type = hints::StreamType::recorded;
+  const auto& plan = front.site.plans[viewer.plan];
+  said.top_bitrate = std::llround(front.site.rung_kb[viewer.top] * plan.rate_scale * 8) + 1;
+  if (!viewer.first) {
+    said.buffer_length = static_cast<std::int64_t>(viewer.buffer_s * 10) * 100;
+    said.buffer_starved = std::exchange(viewer.starved, false);
+    if (viewer.throughput > 0) said.measured_throughput = std::llround(viewer.throughput * 8 / 100) * 100;
+  }
+  auto target = manager::path_text(front, path, viewer.top);
+  std::string more;
+  if (viewer.hints == 0 && viewer.number % 2 == 0) target += "?CMCD=" + hints::cmcd_query(said);
+  else if (viewer.hints == 0) for (auto& field : hints::cmcd_headers(said)) fields.push_back(std::move(field));
+  else if (viewer.hints == 2) more = malformed_hints(viewer.number, viewer.sid);
+  viewer.request = http::request_text("GET", target, fields);
+  viewer.request.insert(viewer.request.size() - 2, more);
+}
+
+void Viewers::ask(Viewer& viewer, std::vector<Act>& acts) {
+  drain_buffer(viewer);
+  if (viewer.first) {
+    viewer.buffer_s = 0;
+    ++asked_;
+  }
+  char trace[40];
+  std::snprintf(trace, sizeof trace, "%08x%08x%08x%08x", day_.seed, viewer.number, static_cast<unsigned>(asked_), static_cast<unsigned>(++requests_));
+  viewer.trace = trace;
+  if (viewer.first && !viewer.link) {
+    std::vector<int> own;
+    for (int i = 0; i < static_cast<int>(doors_.size()); ++i) {
+      if (doors_[i].hall == viewer.hall) own.push_back(i);
+    }
+    if (own.empty()) {
+      for (int i = 0; i < static_cast<int>(doors_.size()); ++i) own.push_back(i);
+    }
+    viewer.door = own[static_cast<std::size_t>(draw() * static_cast<double>(own.size()))];
+  }
+  request_text(viewer);
+  viewer.status = viewer.retry_after = 0;
+  viewer.bytes = 0;
+  viewer.answered = false;
+  viewer.sent_at = now_;
+  viewer.state = viewer.first ? State::asking : State::fetching;
+  viewer.reader.expect(false);
+  if (viewer.link && viewer.connected) {
+    acts.push_back(Send{viewer.link, viewer.request});
+  } else if (!viewer.link) {
+    viewer.link = next_link_++;
+    by_link_[viewer.link] = viewer.number;
+    acts.push_back(Dial{viewer.link, "127.0.0.1", doors_[viewer.door].port});
+  }
+  if (viewer.first) put(trace::Passed::ASKED, viewer);
+  const Span patience = day_.deployment.front.plans[viewer.plan].abandon;
+  arm(viewer, viewer.first ? patience : 3 * patience, Bell::patience);
+}
+
+void Viewers::came_part(Viewer& viewer, http::ResponseReader::Part part, std::vector<Act>& acts) {
+  if (part.fault) {
+    // Bytes that no request asked for: a second answer, whatever they say.
+    if (viewer.state != State::asking && viewer.state != State::fetching) put(trace::Passed::ANSWERED, viewer, -1, "unasked bytes");
+    return broke(viewer, acts);
+  }
+  if (part.head) {
+    viewer.status = part.head->status;
+    viewer.answered = true;
+    if (const auto* wait = http::find(part.head->fields, "Retry-After")) viewer.retry_after = std::atoi(wait->c_str());
+    const auto said = hints::read_cmsd(http::joined(part.head->fields, "CMSD-Static"), http::joined(part.head->fields, "CMSD-Dynamic"));
+    const auto& rates = day_.deployment.front.site.rung_kb;
+    if (said.fixed && said.fixed->bitrate) {
+      const double kb = static_cast<double>(*said.fixed->bitrate) / 8 / day_.deployment.front.site.plans[viewer.plan].rate_scale;
+      viewer.rung = static_cast<int>(std::min_element(rates.begin(), rates.end(), [&](double a, double b) { return std::fabs(a - kb) < std::fabs(b - kb); }) - rates.begin());
+    }
+    if (viewer.first) {
+      put(trace::Passed::ANSWERED, viewer, viewer.status);
+      // It plays: patience is for the set-up; a body that stalls is left later.
+      if (viewer.status == 200) arm(viewer, 3 * day_.deployment.front.plans[viewer.plan].abandon, Bell::patience);
+    }
+  }
+  viewer.bytes += part.body.size();
+  if (!part.done) return;
+  if (viewer.status == 200 || viewer.status == 206) return object_whole(viewer, acts);
+  const bool was_first = viewer.first;
+  if (!was_first) put(trace::Passed::OBJECT, viewer, viewer.status);
+  const bool comes_again = (viewer.status == 503 || !was_first) && draw() < day_.viewers.returns;
+  if (!comes_again) return leave(viewer, acts, "turned away");
+  rest(viewer, viewer.retry_after > 0 ? span_of(viewer.retry_after * (1 + 0.5 * draw())) : day_.viewers.rejoin, acts);
+}
+
+void Viewers::drain_buffer(Viewer& viewer) {
+  const double passed = seconds(now_ - viewer.buffer_at);
+  viewer.buffer_at = now_;
+  if (!viewer.ever_played || viewer.first) return;
+  if (viewer.buffer_s < passed && viewer.state == State::fetching) viewer.starved = true;
+  viewer.buffer_s = std::max(0.0, viewer.buffer_s - passed);
+}
+
+void Viewers::object_whole(Viewer& viewer, std::vector<Act>& acts) {
+  drain_buffer(viewer);
+  const double length = seconds(day_.deployment.front.object_length);
+  viewer.throughput = static_cast<double>(viewer.bytes) / 1000 / std::max(0.001, seconds(now_ - viewer.sent_at));
+  viewer.ever_played = true;
+  viewer.first = false;
+  viewer.buffer_s += length;
+  viewer.left_to_watch -= day_.deployment.front.object_length;
+  ++viewer.object;
+  put(trace::Passed::OBJECT, viewer, viewer.status);
+  if (viewer.left_to_watch <= 0s) return leave(viewer, acts, "seen");
+  const double room = (most_buffer_objects - 1) * length - viewer.buffer_s;
+  viewer.state = State::idle;
+  arm(viewer, room >= 0 ? 1ms : span_of(-room), Bell::next_object);
+}
+
+void Viewers::broke(Viewer& viewer, std::vector<Act>& acts) {
+  const bool under_way = viewer.state == State::asking || viewer.state == State::fetching;
+  const bool unanswered = viewer.state == State::asking && !viewer.answered;
+  if (unanswered) put(trace::Passed::ANSWERED, viewer, 0);
+  hang(viewer, acts);
+  if (!under_way) {  // between objects: the next one is asked on a new connection, as a playback anew
+    viewer.first = true;
+    return;
+  }
+  if (!unanswered && viewer.state == State::asking) put(trace::Passed::LEFT, viewer, 0, "cut");
+  if (draw() >= day_.viewers.returns) {
+    viewer.state = State::over;
+    bells_.disarm(viewer.timer);
+    return;
+  }
+  rest(viewer, span_of(seconds(day_.viewers.rejoin) * (0.5 + draw())), acts);
+}
+
+void Viewers::rest(Viewer& viewer, Span pause, std::vector<Act>& acts) {
+  if (viewer.link) hang(viewer, acts);
+  if (now_ + pause >= viewer.came + viewer.watch || day_now() >= day_.length) {
+    viewer.state = State::over;
+    bells_.disarm(viewer.timer);
+    return;
+  }
+  viewer.state = State::resting;
+  arm(viewer, pause, Bell::again);
+}
+
+void Viewers::leave(Viewer& viewer, std::vector<Act>& acts, const char* cause) {
+  put(trace::Passed::LEFT, viewer, 0, cause);
+  hang(viewer, acts);
+  bells_.disarm(viewer.timer);
+  viewer.state = State::over;
+}
+
+void Viewers::hang(Viewer& viewer, std::vector<Act>& acts) {
+  if (!viewer.link) return;
+  acts.push_back(Hang{viewer.link, false});
+  by_link_.erase(viewer.link);
+  viewer.link = 0;
+  viewer.connected = false;
+}
+
+}  // namespace violettide::standins
--- /dev/null
+++ b/src/standins/viewers.h
@@ -0,0 +1,87 @@
+// Stand-in viewers: players with a modelled buffer that say CMCD, leave when their patience is up, and come
+// again as Retry-After says, to any manager of their hall. Each request carries a trace context of its own,
+// by which all traces name the same request.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <random>
+
+#include "hints/cmcd.h"
+#include "http/http.h"
+#include "seams/seams.h"
+#include "standins/day.h"
+#include "trace/trace.h"
+#include "wheel/wheel.h"
+
+namespace violettide::standins {
+
+struct Door {
+  std::string manager;
+  std::uint16_t port = 0;
+  int hall = 0;
+};
+
+class Viewers : public Core {
+ public:
+  Viewers(const Day& day, std::vector<Door> doors, Span to_day, std::uint64_t origin_us, std::function<void(const trace::Passed&)> sink);
+  void handle(Span now, const Happening& what, std::vector<Act>& acts) override;
+  std::size_t asked() const { return asked_; }
+
+ private:
+  enum class State { idle, dialing, asking, fetching, resting, over };
+  struct Viewer {
+    std::uint32_t number = 0;
+    int plan = 0, hall = 0, top = 0;
+    std::string title, sid, trace;
+    int hints = 0;  // 0 whole, 1 none, 2 malformed
+    Span watch{0}, came{0}, left_to_watch{0};
+    State state = State::idle;
+    Link link = 0;
+    int door = 0;
+    bool first = true;         // the request under way begins a playback
+    bool ever_played = false, starved = false, connected = false, answered = false;
+    http::ResponseReader reader;
+    std::string request;
+    Span sent_at{0}, buffered_until{0};
+    Span buffer_at{0};
+    double buffer_s = 0;
+    double throughput = 0;     // kB a second, of the last object
+    std::uint64_t bytes = 0;
+    int object = 0, status = 0, retry_after = 0, rung = 0;
+    Wheel<std::uint64_t>::Handle timer;
+  };
+  enum class Bell : std::uint64_t { arrival, patience, again, next_object };
+  void arrive(std::vector<Act>& acts, bool crowd);
+  void ask(Viewer& viewer, std::vector<Act>& acts);
+  void request_text(Viewer& viewer);
+  void came_part(Viewer& viewer, http::ResponseReader::Part part, std::vector<Act>& acts);
+  void object_whole(Viewer& viewer, std::vector<Act>& acts);
+  void broke(Viewer& viewer, std::vector<Act>& acts);
+  void rest(Viewer& viewer, Span pause, std::vector<Act>& acts);
+  void leave(Viewer& viewer, std::vector<Act>& acts, const char* cause);
+  void hang(Viewer& viewer, std::vector<Act>& acts);
+  void drain_buffer(Viewer& viewer);
+  void arm(Viewer& viewer, Span in, Bell bell);
+  void put(trace::Passed::Kind kind, const Viewer& viewer, int status = 0, const std::string& cause = "");
+  double draw();
+  Span day_now() const { return now_ + to_day_; }
+
+  Day day_;
+  std::vector<Door> doors_;
+  Span to_day_;
+  std::uint64_t origin_us_;
+  std::function<void(const trace::Passed&)> sink_;
+  Span now_{0};
+  bool began_ = false, stopping_ = false;
+  std::map<std::uint32_t, Viewer> viewers_;
+  std::map<Link, std::uint32_t> by_link_;
+  Wheel<std::uint64_t> bells_;
+  std::minstd_rand chance_;
+  std::vector<double> zipf_;
+  std::uint32_t next_viewer_ = 1;
+  Link next_link_ = 1;
+  std::size_t asked_ = 0, requests_ = 0;
+};
+
+}  // namespace violettide::standins
