Test the manager's core against every mishap of sockets, on a network in memory

Need: what only sockets bring (late, doubled, lost and cut answers, gone viewers, a front that stood still) must end each request once and leave nothing held. The weighing's memory is one note spacing: with two, a box that had recovered was told short for 5 s on.

--- a/src/hints/weighing/weighing.cpp
+++ b/src/hints/weighing/weighing.cpp
@@ -40,7 +40,7 @@
 }
 
 void Weighing::measure(Box& box, double share) {
-  const double kept = box.relay.weight * std::exp(-seconds(now_ - box.relay.at) / (2 * seconds(spacing_)));
+  const double kept = box.relay.weight * std::exp(-seconds(now_ - box.relay.at) / seconds(spacing_));
   box.relay.weight = kept + 1;
   box.relay.mean += (std::clamp(share, 0.0, 1.0) - box.relay.mean) / box.relay.weight;
   box.relay.at = now_;
--- /dev/null
+++ b/tests/program/cores_test.cpp
@@ -0,0 +1,235 @@
+// The box list and the weighing of hints, each as a core of its own.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "boxlist/boxlist.h"
+#include "hints/weighing/weighing.h"
+
+namespace violettide {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string list_text(int revision, const std::vector<std::string>& boxes) {
+  std::string text = "{\"revision\":" + std::to_string(revision) + ",\"clock_ms\":100000,\"boxes\":[";
+  for (std::size_t i = 0; i < boxes.size(); ++i) text += (i ? "," : "") + boxes[i];
+  return text + "]}";
+}
+std::string box_text(const std::string& name, const std::string& state = "ready", int port = 80, int started = 90000) {
+  return "{\"name\":\"" + name + "\",\"address\":\"127.0.0.1\",\"port\":" + std::to_string(port) + ",\"state\":\"" + state +
+         "\",\"kind\":0,\"cell\":1,\"hall\":\"h\",\"weight\":1,\"started_ms\":" + std::to_string(started) + "}";
+}
+
+TEST(BoxList, AStartIsMappedOnceAndKept) {
+  boxlist::BoxList list({"h"});
+  auto news = list.take(10s, list_text(1, {box_text("a"), box_text("b", "draining")}));
+  ASSERT_TRUE(news.list);
+  EXPECT_EQ(news.list->entries[0].started, 0s);
+  EXPECT_EQ(news.list->entries[1].standing, Standing::draining);
+  news = list.take(10'300ms, list_text(1, {box_text("a"), box_text("b")}));  // the same start, heard later
+  EXPECT_EQ(news.list->entries[0].started, 0s);
+  EXPECT_TRUE(news.moved.empty());
+  news = list.take(11s, list_text(2, {box_text("a", "ready", 80, 99000), box_text("b", "ready", 81)}));
+  EXPECT_EQ(news.list->entries[0].started, 10s);
+  EXPECT_EQ(news.moved, (std::vector<ServerId>{0, 1})) << "a started anew, b is elsewhere";
+  EXPECT_EQ(list.find("b"), 1u);
+}
+
+TEST(BoxList, AnOlderListIsPassedOver) {
+  boxlist::BoxList list({"h"});
+  list.take(1s, list_text(5, {box_text("a", "draining")}));
+  const auto news = list.take(2s, list_text(4, {box_text("a")}));
+  EXPECT_FALSE(news.list);
+  EXPECT_EQ(list.box(0).standing, Standing::draining) << "a drain once told stays told";
+}
+
+TEST(BoxList, AFleetThatVanishesAtAStrokeIsHeldOnce) {
+  boxlist::BoxList list({"h"});
+  std::vector<std::string> all;
+  for (int i = 0; i < 8; ++i) all.push_back(box_text("b" + std::to_string(i)));
+  list.take(1s, list_text(1, all));
+  auto news = list.take(2s, list_text(2, {box_text("b0", "draining")}));
+  ASSERT_TRUE(news.list);
+  EXPECT_EQ(news.list->reach, ServerList::Reach::changes);
+  EXPECT_FALSE(news.remark.empty());
+  EXPECT_EQ(list.box(0).standing, Standing::draining) << "what it says of drains counts at once";
+  EXPECT_EQ(list.box(1).standing, Standing::ready);
+  news = list.take(3s, list_text(2, {box_text("b0", "draining")}));
+  EXPECT_EQ(news.list->reach, ServerList::Reach::complete);
+  EXPECT_EQ(list.box(1).standing, Standing::gone);
+}
+
+TEST(BoxList, AKeptListTellsNoStarts) {
+  boxlist::BoxList list({"h"});
+  const auto news = list.take_cached(0s, list_text(7, {box_text("a")}));
+  EXPECT_EQ(news.list->reach, ServerList::Reach::cached);
+  EXPECT_FALSE(news.list->entries[0].started);
+  EXPECT_TRUE(list.take(1s, list_text(3, {box_text("a")})).list) << "a kept list's revision binds nothing";
+}
+
+TEST(BoxList, AFaultyListChangesNothingAndSaysWhere) {
+  boxlist::BoxList list({"h"});
+  list.take(1s, list_text(1, {box_text("a")}));
+  const std::pair<std::string, std::string> bad[] = {
+      {"{", "byte 2"},
+      {"[]", "list"},
+      {"{\"revision\":2}", "list.clock_ms"},
+      {list_text(2, {box_text("a"), box_text("a")}), "boxes[1].name"},
+      {list_text(2, {box_text("b", "sleepy")}), "boxes[0].state"},
+      {list_text(2, {box_text("b", "ready", 70000)}), "boxes[0].port"},
+      {list_text(2, {box_text("b"), "7"}), "boxes[1]"},
+      {list_text(2, {"{\"name\":\"x\"}"}), "boxes[0].address"},
+      {list_text(2, {box_text("")}), "boxes[0].name"}};
+  for (const auto& [text, place] : bad) {
+    const auto news = list.take(2s, text);
+    ASSERT_TRUE(news.fault) << text;
+    EXPECT_EQ(news.fault->place, place);
+    EXPECT_FALSE(news.list);
+  }
+  EXPECT_EQ(list.size(), 1u);
+  EXPECT_EQ(list.revision(), 1);
+}
+
+using hints::BoxSaid;
+using hints::Delivered;
+using hints::ViewerSaid;
+using hints::Weighing;
+
+hints::CmsdDynamic util(double value) {
+  hints::CmsdDynamic hop;
+  hop.util = value;
+  return hop;
+}
+hints::Cmcd starved() {
+  hints::Cmcd hints;
+  hints.buffer_starved = true;
+  return hints;
+}
+
+TEST(Weighing, AUtilThatDeliveriesContradictIsBelievedLess) {
+  Weighing weighing(1s, {100});
+  EXPECT_DOUBLE_EQ(*weighing.handle(0s, BoxSaid{1, util(0.1), 100}).report->link_fill, 0.1) << "nothing speaks against it yet";
+  for (int i = 1; i <= 6; ++i) {
+    weighing.handle(i * 300ms, Delivered{static_cast<PlaybackId>(i), 1, 0.5, false});
+    weighing.handle(i * 300ms, BoxSaid{1, util(0.1), 100});
+  }
+  const auto fill = *weighing.handle(2s, BoxSaid{1, util(0.1), 100}).report->link_fill;
+  EXPECT_GT(fill, 1.7) << "half the share means twice the link is asked";
+  EXPECT_LT(weighing.fill_trust(1), 0.1);
+  EXPECT_DOUBLE_EQ(weighing.fill_trust(2), 0.8) << "another box is not judged by it";
+  for (int i = 0; i < 60; ++i) {
+    weighing.handle(10s + i * 300ms, Delivered{1, 1, 1.0, false});
+    weighing.handle(10s + i * 300ms, BoxSaid{1, util(0.4), 100});
+  }
+  EXPECT_GT(weighing.fill_trust(1), 0.7) << "trust comes back with words that fit";
+}
+
+TEST(Weighing, OverfullWordsWhileAllIsDeliveredAreDrawnDown) {
+  Weighing weighing(1s, {100});
+  for (int i = 0; i < 6; ++i) weighing.handle(i * 100ms, Delivered{1, 1, 1.0, false});
+  const auto fill = *weighing.handle(600ms, BoxSaid{1, util(3), 100}).report->link_fill;
+  EXPECT_LT(fill, 2.0);
+  EXPECT_GE(fill, 1.0);
+}
+
+TEST(Weighing, ShortSharesAreNotedOnceASpacingAndOnceMoreWhenFull) {
+  Weighing weighing(1s, {100});
+  std::vector<double> notes;
+  for (int i = 0; i < 80; ++i) {
+    const double share = i < 30 ? 0.6 : 1.0;
+    for (const auto& note : weighing.handle(i * 100ms, Delivered{4, 2, share, false}).notes) notes.push_back(note.value);
+  }
+  ASSERT_GE(notes.size(), 4u);
+  EXPECT_LE(notes.size(), 8u);
+  EXPECT_LT(notes.front(), 0.7);
+  EXPECT_EQ(notes.back(), 1.0);
+  EXPECT_EQ(std::count(notes.begin(), notes.end(), 1.0), 1);
+}
+
+TEST(Weighing, AViewerThatReadsSlowlySaysNothingOfItsBox) {
+  Weighing weighing(1s, {100});
+  for (int i = 0; i < 20; ++i) EXPECT_TRUE(weighing.handle(i * 100ms, Delivered{4, 2, 0.1, true}).notes.empty());
+}
+
+TEST(Weighing, OneStarvingViewerIsItsOwnLineTwoAreTheBox) {
+  Weighing weighing(1s, {100});
+  for (int i = 0; i < 4; ++i) weighing.handle(i * 100ms, Delivered{9, 1, 1.0, false});
+  auto alone = weighing.handle(500ms, ViewerSaid{1, 1, starved(), 100});
+  EXPECT_EQ(alone.last_mile, 1u);
+  EXPECT_TRUE(alone.notes.empty());
+  auto second = weighing.handle(600ms, ViewerSaid{2, 1, starved(), 100});
+  EXPECT_FALSE(second.last_mile);
+  ASSERT_EQ(second.notes.size(), 1u);
+  EXPECT_LT(second.notes[0].value, 0.98);
+  // One starving viewer counts where the relay measures short shares too.
+  Weighing other(1s, {100});
+  other.handle(0s, Delivered{1, 1, 0.7, false});
+  EXPECT_FALSE(other.handle(100ms, ViewerSaid{1, 1, starved(), 100}).last_mile);
+}
+
+TEST(Weighing, DuressAndThinThroughputSayFullWhereNoFigureIsTold) {
+  Weighing weighing(1s, {100});
+  hints::CmsdDynamic hop;
+  EXPECT_FALSE(weighing.handle(0s, BoxSaid{1, hop, 100}).report->link_fill);
+  hop.duress = true;
+  EXPECT_EQ(weighing.handle(0s, BoxSaid{1, hop, 100}).report->link_fill, 1.0);
+  hop.duress = false;
+  hop.estimated_throughput = 700;  // kbit/s, under 100 kB/s
+  EXPECT_EQ(weighing.handle(0s, BoxSaid{1, hop, 100}).report->link_fill, 1.0);
+}
+
+TEST(Weighing, ATopIsNeverUnderTheFloor) {
+  const Weighing weighing(1s, {10, 20, 40, 80});
+  hints::Cmcd hints;
+  EXPECT_EQ(weighing.top_for(hints, 1, 3, 1), 3);
+  hints.top_bitrate = 330;
+  EXPECT_EQ(weighing.top_for(hints, 1, 3, 1), 2);
+  hints.top_bitrate = 1;
+  EXPECT_EQ(weighing.top_for(hints, 1, 3, 1), 1);
+  hints = {};
+  hints.measured_throughput = 240;
+  EXPECT_EQ(weighing.top_for(hints, 0, 3, 1), 3) << "throughput counts only while the buffer runs low";
+  hints.buffer_length = 500;
+  hints.object_duration = 1000;
+  EXPECT_EQ(weighing.top_for(hints, 0, 3, 1), 1);
+}
+
+// Whatever boxes and viewers say, in any order: fills stay finite, shares lie from 0 to 1, notes are spaced.
+TEST(Weighing, HoldsUnderAnyWords) {
+  for (unsigned seed = 1; seed <= 50; ++seed) {
+    std::minstd_rand chance(seed);
+    const auto draw = [&](unsigned n) { return static_cast<unsigned>(chance() % n); };
+    Weighing weighing(1s, {10, 20});
+    std::map<ServerId, Span> last;
+    Span now{0};
+    for (int i = 0; i < 2000; ++i) {
+      now += std::chrono::milliseconds(draw(200));
+      const ServerId server = draw(4);
+      hints::Weighed out;
+      if (draw(3) == 0) out = weighing.handle(now, Delivered{draw(9), server, static_cast<double>(draw(120)) / 100, draw(5) == 0});
+      else if (draw(3) == 0) out = weighing.handle(now, ViewerSaid{draw(9), server, draw(2) ? starved() : hints::Cmcd{}, 10});
+      else if (draw(3) == 0) out = weighing.handle(now, hints::PlaybackLeft{draw(9)});
+      else if (draw(3) == 0) out = weighing.handle(now, hints::TimePassed{});
+      else {
+        auto hop = util(static_cast<double>(draw(4000)) / 1000);
+        if (draw(2)) hop.share = static_cast<double>(draw(1500)) / 1000;
+        hop.duress = draw(2);
+        out = weighing.handle(now, BoxSaid{server, hop, 10});
+      }
+      if (out.report && out.report->link_fill) {
+        ASSERT_TRUE(*out.report->link_fill >= 0 && *out.report->link_fill <= 20) << *out.report->link_fill;
+      }
+      for (const auto& note : out.notes) {
+        ASSERT_TRUE(note.value >= 0 && note.value <= 1);
+        if (last.contains(note.server)) {
+          ASSERT_GE(now - last[note.server], Span(1s));
+        }
+        last[note.server] = now;
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace violettide
--- /dev/null
+++ b/tests/program/manager_test.cpp
@@ -0,0 +1,548 @@
+// The manager's core against a scripted module and peers moved by hand: every mishap of real sockets.
+#include <gtest/gtest.h>
+
+#include "hints/cmsd.h"
+#include "manager/manager.h"
+#include "net.h"
+
+namespace violettide::manager {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::Net;
+using testing::Puppet;
+
+// Does what a test says, and keeps what it was told.
+class Script : public Decider {
+ public:
+  std::vector<Event>* told;
+  std::function<std::vector<Order>(Span, const Event&)> decide_so;
+  explicit Script(std::vector<Event>* told) : told(told) {}
+  std::vector<Order> decide(Span now, const Event& event) override {
+    told->push_back(event);
+    return decide_so ? decide_so(now, event) : std::vector<Order>{};
+  }
+};
+
+class Mishaps : public ::testing::Test {
+ protected:
+  static constexpr int front_host = 0, box_host = 1, list_host = 3, viewer_host = 4;
+
+  void SetUp() override {
+    terms.name = "m";
+    terms.site.rung_kb = {10, 20, 40};
+    terms.site.rung_revenue = {0.5, 0.8, 1};
+    terms.site.plans.resize(2);
+    for (auto& plan : terms.site.plans) plan.startup_target = 800ms, plan.top = 2;
+    terms.site.plans[0].floor = 1;
+    terms.site.plans[1].pay_at_setup = true;
+    terms.plans = {{"a", 4s}, {"paid", 4s}};
+    terms.halls = {"h"};
+    terms.site.cells = 2;
+    terms.list_port = Net::port(list_host);
+    terms.silence = 3s;
+    terms.viewer_links = 8;
+    auto script = std::make_unique<Script>(&told);
+    script->decide_so = [this](Span now, const Event& event) { return decide ? decide(now, event) : place(event); };
+    front = std::make_unique<Manager>(terms, 1, "", std::move(script));
+    net.add(*front, 1);
+    net.add(box, 1);
+    net.add(other_box, 1);
+    net.add(list, 1);
+    net.add(viewer, 0);
+    list.on_bytes = [this](Puppet&, Link link, std::vector<Act>& acts) {
+      acts.push_back(Send{link, http::head_text(200, {}, boxes_json.size(), false) + boxes_json});
+      acts.push_back(Hang{link, true});
+    };
+    net.run(100ms);
+    told.clear();
+  }
+
+  // The script that a module would follow on a good day: box 0, then box 1, then a rejection.
+  std::vector<Order> place(const Event& event) {
+    if (const auto* request = std::get_if<Request>(&event)) {
+      tries[request->playback] = 1;
+      return {SetRung{request->playback, 1}, violettide::SetUp{request->playback, 0, 500ms}};
+    }
+    if (const auto* ended = std::get_if<TryEnded>(&event); ended && !ended->over) {
+      if (tries[ended->playback]++ > 1) return {Reject{ended->playback, 1500ms}};
+      return {violettide::SetUp{ended->playback, 1, 500ms}};
+    }
+    return {};
+  }
+
+  Link dial() {
+    const Link link = next_link++;
+    viewer.next.push_back(Dial{link, "", Net::port(front_host)});
+    act(viewer_host);
+    return link;
+  }
+  void act(int host) {  // lets a puppet do what it has been told
+    net.poke(host);
+    net.run(net.now() + 2ms);
+  }
+  void send(Link link, const std::string& text) {
+    viewer.next.push_back(Send{link, text});
+    act(viewer_host);
+  }
+  static std::string get(const std::string& path, const std::string& sid = "s1") {
+    return "GET " + path + " HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"" + sid + "\"\r\n\r\n";
+  }
+  void box_sends(Puppet& from, int host, Link link, const std::string& text) {
+    from.next.push_back(Send{link, text});
+    act(host);
+  }
+  static std::string object(const std::string& body, const std::string& more = "") {
+    return "HTTP/1.1 200 OK\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  std::string& got(Link link) { return viewer.peers[link].got; }
+  template <typename Kind>
+  std::vector<Kind> told_of() const {
+    std::vector<Kind> all;
+    for (const auto& event : told) {
+      if (const auto* kind = std::get_if<Kind>(&event)) all.push_back(*kind);
+    }
+    return all;
+  }
+  // The connections that were set up with the box so far that carried a request.
+  static std::vector<Link> asked(Puppet& puppet) {
+    std::vector<Link> links;
+    for (const auto link : puppet.accepted) {
+      if (puppet.peers[link].got.starts_with("GET")) links.push_back(link);
+    }
+    return links;
+  }
+
+  Net net;
+  Puppet box, other_box, list, viewer;
+  FrontTerms terms;
+  std::unique_ptr<Manager> front;
+  std::vector<Event> told;
+  std::map<PlaybackId, int> tries;
+  std::function<std::vector<Order>(Span, const Event&)> decide;
+  Link next_link = 1;
+  std::string boxes_json = R"({"revision":1,"clock_ms":100000,"boxes":[)"
+                           R"({"name":"b0","address":"127.0.0.1","port":1001,"state":"ready","kind":0,"cell":0,"hall":"h","weight":1},)"
+                           R"({"name":"b1","address":"127.0.0.1","port":2001,"state":"ready","kind":0,"cell":1,"hall":"h","weight":1}]})";
+};
+
+TEST_F(Mishaps, AWholePathWithHintsOfBoth) {
+  const auto link = dial();
+  send(link, "GET /a/t/r2/0.m4s?CMCD=sid%3D%22q%22%2Ctb%3D170 HTTP/1.1\r\nHost: x\r\ntraceparent: 00-ab-cd-01\r\n\r\n");
+  ASSERT_EQ(asked(box).size(), 1u);
+  const auto at_box = box.peers[box.accepted[0]].got;
+  EXPECT_NE(at_box.find("GET /a/t/r1/0.m4s HTTP/1.1\r\n"), std::string::npos) << "the rung in force, not the one asked";
+  EXPECT_NE(at_box.find("sid=\"q\""), std::string::npos);
+  EXPECT_NE(at_box.find("su"), std::string::npos);
+  EXPECT_NE(at_box.find("traceparent: 00-ab-cd-01"), std::string::npos);
+  EXPECT_EQ(told_of<Request>()[0].top, 1) << "its top bitrate fits rung 1";
+  box_sends(box, box_host, box.accepted[0], object("hello", "CMSD-Static: br=160\r\nCMSD-Dynamic: \"b0\";org.violettide-util=0.4\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nETag: \"e\"\r\n"));
+  const auto& answer = got(link);
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 OK\r\n")) << answer;
+  EXPECT_NE(answer.find("CMSD-Static: br=160"), std::string::npos);
+  EXPECT_NE(answer.find("CMSD-Dynamic: \"b0\";org.violettide-util=0.4, \"m\";mb=160"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("ETag"), std::string::npos);
+  EXPECT_EQ(answer.find("X-Hop"), std::string::npos) << "fields of one hop end there";
+  EXPECT_TRUE(answer.ends_with("\r\n\r\nhello"));
+  ASSERT_EQ(told_of<Started>().size(), 1u);
+  EXPECT_TRUE(std::any_of(told.begin(), told.end(), [](const Event& e) {
+    const auto* note = std::get_if<Note>(&e);
+    return note && note->about == Note::About::link_fill && note->value == 0.4;
+  }));
+}
+
+TEST_F(Mishaps, ATryEndsForEachCauseAndTheNextIsSent) {
+  const std::pair<std::string, Outcome> answers[] = {{"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", Outcome::full},
+                                                     {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", Outcome::error},
+                                                     {"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", Outcome::error},
+                                                     {"not HTTP at all\r\n\r\n", Outcome::error}};
+  int n = 0;
+  for (const auto& [text, outcome] : answers) {
+    told.clear();
+    const auto link = dial();
+    send(link, get("/a/t/r2/0", "s" + std::to_string(++n)));
+    // A connection that the box left open after an answer of its own is used again.
+    Link at_box = 0;
+    for (const auto accepted : box.accepted) {
+      if (!box.peers[accepted].got.empty() && !box.peers[accepted].ended) at_box = accepted;
+    }
+    box_sends(box, box_host, at_box, text);
+    ASSERT_EQ(told_of<TryEnded>().size(), 1u) << text;
+    EXPECT_EQ(told_of<TryEnded>()[0].outcome, outcome);
+    const auto second = asked(other_box).back();
+    box_sends(other_box, 2, second, object("x"));
+    EXPECT_TRUE(got(link).starts_with("HTTP/1.1 200")) << got(link);
+    other_box.peers[second].got.clear();
+    box.peers[at_box].got.clear();
+  }
+}
+
+TEST_F(Mishaps, RefusedConnectionsProveThatNothingRan) {
+  net.kill(box_host);
+  const auto link = dial();
+  send(link, get("/paid/t/r2/0"));
+  ASSERT_EQ(told_of<TryEnded>().size(), 1u);
+  EXPECT_EQ(told_of<TryEnded>()[0].outcome, Outcome::no_connection);
+  box_sends(other_box, 2, asked(other_box).back(), object("x"));
+  EXPECT_TRUE(got(link).starts_with("HTTP/1.1 200"));
+}
+
+TEST_F(Mishaps, ASilentBoxIsLateAndItsLateAnswerCountsForNothing) {
+  const auto link = dial();
+  send(link, get("/a/t/r2/0"));
+  const auto at_box = box.accepted[0];
+  net.run(net.now() + 600ms);
+  ASSERT_EQ(told_of<TryEnded>().size(), 1u);
+  EXPECT_EQ(told_of<TryEnded>()[0].outcome, Outcome::late);
+  EXPECT_TRUE(box.peers[at_box].ended) << "the try was taken back";
+  box_sends(box, box_host, at_box, object("late"));
+  EXPECT_EQ(got(link), "");
+  box_sends(other_box, 2, asked(other_box)[0], object("x"));
+  EXPECT_TRUE(got(link).ends_with("x"));
+  EXPECT_EQ(told_of<Started>().size(), 1u);
+}
+
+TEST_F(Mishaps, ABoxThatAnswersTwiceAnswersOnce) {
+  const auto link = dial();
+  send(link, get("/a/t/r2/0"));
+  box_sends(box, box_host, box.accepted[0], object("one") + object("two"));
+  EXPECT_TRUE(got(link).ends_with("one"));
+  EXPECT_EQ(got(link).find("two"), std::string::npos);
+  EXPECT_TRUE(box.peers[box.accepted[0]].ended) << "such a connection is not used again";
+  const auto second = dial();
+  send(second, get("/a/u/r2/0", "s2"));
+  ASSERT_EQ(box.accepted.size(), 2u);
+  box_sends(box, box_host, box.accepted[1], object("fine"));
+  box_sends(box, box_host, box.accepted[1], object("unasked"));  // while it waits for use
+  EXPECT_TRUE(box.peers[box.accepted[1]].ended);
+  EXPECT_TRUE(got(second).ends_with("fine"));
+}
+
+TEST_F(Mishaps, ARejectionCarriesItsComeBackTime) {
+  decide = [](Span, const Event& event) -> std::vector<Order> {
+    if (const auto* r = std::get_if<Request>(&event)) return {Reject{r->playback, 1200ms}};
+    return {};
+  };
+  const auto link = dial();
+  send(link, get("/a/t/r2/0"));
+  EXPECT_TRUE(got(link).starts_with("HTTP/1.1 503")) << got(link);
+  EXPECT_NE(got(link).find("Retry-After: 2\r\n"), std::string::npos);
+  EXPECT_EQ(front->held().playbacks, 0u);
+}
+
+TEST_F(Mishaps, AnAbortSaysWhetherTimeRanOut) {
+  decide = [](Span, const Event& event) -> std::vector<Order> {
+    if (const auto* r = std::get_if<Request>(&event)) return {violettide::SetUp{r->playback, 0, 300ms}};
+    if (const auto* e = std::get_if<TryEnded>(&event); e && !e->over) return {Abort{e->playback}};
+    return {};
+  };
+  const auto link = dial();
+  send(link, get("/paid/t/r2/0"));
+  net.run(net.now() + 400ms);
+  EXPECT_TRUE(got(link).starts_with("HTTP/1.1 504")) << got(link);
+  const auto second = dial();
+  send(second, get("/paid/t/r2/0", "s2"));
+  box_sends(box, box_host, box.accepted.back(), "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_TRUE(got(second).starts_with("HTTP/1.1 502")) << got(second);
+}
+
+TEST_F(Mishaps, AModuleThatForgetsARequestIsAnsweredFor) {
+  decide = [](Span, const Event& event) -> std::vector<Order> {
+    if (const auto* r = std::get_if<Request>(&event)) return {violettide::SetUp{r->playback, 0, 10s}};
+    return {};
+  };
+  const auto link = dial();
+  const auto asked_at = net.now();
+  send(link, get("/a/t/r2/0"));
+  net.run(asked_at + 4s);
+  EXPECT_TRUE(got(link).starts_with("HTTP/1.1 504")) << "answered before the viewer's time was up: " << got(link);
+  ASSERT_EQ(told_of<Withdrawn>().size(), 1u);
+  ASSERT_EQ(told_of<TryEnded>().size(), 1u);
+  EXPECT_TRUE(told_of<TryEnded>()[0].over);
+  EXPECT_TRUE(box.peers[box.accepted[0]].ended);
+}
+
+TEST_F(Mishaps, AViewerGoneInMidSetUpTakesItsTryBack) {
+  const auto link = dial();
+  send(link, get("/a/t/r2/0"));
+  viewer.next.push_back(Hang{link, false});
+  act(viewer_host);
+  EXPECT_EQ(told_of<Withdrawn>().size(), 1u);
+  ASSERT_EQ(told_of<TryEnded>().size(), 1u);
+  EXPECT_EQ(told_of<TryEnded>()[0].outcome, Outcome::cancelled);
+  EXPECT_TRUE(box.peers[box.accepted[0]].ended);
+  EXPECT_EQ(front->held().playbacks, 0u);
+}
+
+TEST_F(Mishaps, AViewerThatOnlyWritesNoMoreIsAnswered) {
+  const auto link = dial();
+  viewer.next.push_back(Send{link, get("/a/t/r2/0")});
+  viewer.next.push_back(Hang{link, true});
+  // The puppet's own end is gone with it, so a second one listens for the answer in its place.
+  act(viewer_host);
+  EXPECT_EQ(told_of<Withdrawn>().size(), 0u);
+  EXPECT_EQ(asked(box).size(), 1u);
+}
+
+TEST_F(Mishaps, RequestsOfOneSessionShareOneTry) {
+  const auto first = dial(), second = dial(), third = dial();
+  send(first, get("/a/t/r2/video"));
+  send(second, get("/a/t/r2/audio"));
+  send(third, get("/a/t/r2/text"));
+  EXPECT_EQ(told_of<Request>().size(), 1u);
+  EXPECT_EQ(asked(box).size(), 1u) << "one playback, one try out";
+  // The first viewer goes; the others still wait for the same try.
+  viewer.next.push_back(Hang{first, false});
+  act(viewer_host);
+  EXPECT_EQ(told_of<Withdrawn>().size(), 0u);
+  box_sends(box, box_host, box.accepted[0], object("video"));
+  ASSERT_EQ(box.accepted.size(), 3u) << "each other object has a request of its own";
+  for (int i = 1; i < 3; ++i) box_sends(box, box_host, box.accepted[i], object("o" + std::to_string(i)));
+  EXPECT_TRUE(got(second).ends_with("o1"));
+  EXPECT_TRUE(got(third).ends_with("o2"));
+  EXPECT_EQ(front->held().playbacks, 1u);
+}
+
+TEST_F(Mishaps, TooManyWaitersForOneSetUpAreTurnedAway) {
+  std::vector<Link> links;
+  std::string pipelined;
+  const auto link = dial();
+  send(link, get("/a/t/r2/0"));
+  for (int i = 0; i < 7; ++i) {
+    links.push_back(dial());
+    send(links.back(), get("/a/t/r2/0"));
+  }
+  const auto over = dial();  // the ninth connection: more than this front takes
+  act(viewer_host);
+  EXPECT_TRUE(got(over).starts_with("HTTP/1.1 503")) << got(over);
+  EXPECT_TRUE(viewer.peers[over].half_closed);
+  EXPECT_EQ(front->held().viewer_links, 8u);
+}
+
+TEST_F(Mishaps, LaterObjectsFollowTheRungAndTheFloor) {
+  const auto link = dial();
+  send(link, get("/a/t/r2/0"));
+  box_sends(box, box_host, box.accepted[0], object("x"));
+  got(link).clear();
+  decide = [](Span, const Event& event) -> std::vector<Order> {
+    if (std::holds_alternative<Note>(event) || std::holds_alternative<TimerRang>(event)) return {};
+    return {};
+  };
+  box.peers[box.accepted[0]].got.clear();
+  send(link, get("/a/t/r0/1"));
+  EXPECT_NE(box.peers[box.accepted[0]].got.find("GET /a/t/r1/1 "), std::string::npos) << "never under the plan's floor: " << box.peers[box.accepted[0]].got;
+  EXPECT_EQ(box.peers[box.accepted[0]].got.find("su"), std::string::npos) << "no set-up";
+  box_sends(box, box_host, box.accepted[0], object("y"));
+  EXPECT_TRUE(got(link).ends_with("y"));
+}
+
+TEST_F(Mishaps, ABoxLostBetweenObjectsIsANewRequest) {
+  const auto link = dial();
+  send(link, get("/a/t/r2/0"));
+  box_sends(box, box_host, box.accepted[0], object("x"));
+  net.kill(box_host);
+  net.run(net.now() + 5ms);
+  told.clear();
+  got(link).clear();
+  send(link, get("/a/t/r2/1"));
+  ASSERT_GE(told_of<TryEnded>().size(), 1u);
+  EXPECT_TRUE(told_of<TryEnded>()[0].over);
+  ASSERT_EQ(told_of<Request>().size(), 1u) << "the viewer asks anew, here";
+  box_sends(other_box, 2, asked(other_box).back(), object("again"));
+  EXPECT_TRUE(got(link).ends_with("again"));
+}
+
+TEST_F(Mishaps, APaidPlaybackWhoseBoxIsLostIsNotSetUpAgain) {
+  const auto link = dial();
+  send(link, get("/paid/t/r2/0"));
+  box_sends(box, box_host, box.accepted[0], object("x"));
+  net.kill(box_host);
+  net.run(net.now() + 5ms);
+  told.clear();
+  got(link).clear();
+  send(link, get("/paid/t/r2/1"));
+  EXPECT_EQ(told_of<Request>().size(), 0u);
+  EXPECT_TRUE(got(link).starts_with("HTTP/1.1 502")) << got(link);
+}
+
+TEST_F(Mishaps, AnObjectCutShortLooksCutShort) {
+  const auto link = dial();
+  send(link, get("/a/t/r2/0"));
+  box_sends(box, box_host, box.accepted[0], "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf of it");
+  EXPECT_TRUE(got(link).ends_with("half of it"));
+  net.kill(box_host);
+  net.run(net.now() + 5ms);
+  EXPECT_TRUE(viewer.peers[link].ended);
+  ASSERT_EQ(told_of<TryEnded>().size(), 1u);
+  EXPECT_EQ(told_of<TryEnded>()[0].outcome, Outcome::reset);
+  EXPECT_EQ(front->held().playbacks, 0u);
+}
+
+TEST_F(Mishaps, AKeptConnectionThatDiedIsTriedOnceMore) {
+  const auto link = dial();
+  send(link, get("/a/t/r2/0"));
+  const auto kept = box.accepted[0];
+  box_sends(box, box_host, kept, object("x"));
+  told.clear();
+  got(link).clear();
+  // The box closes it just as the next request is on its way.
+  box.on_bytes = [&](Puppet&, Link at, std::vector<Act>& acts) {
+    if (at == kept) acts.push_back(Hang{at, false});
+  };
+  send(link, get("/a/t/r2/1"));
+  ASSERT_EQ(box.accepted.size(), 2u);
+  EXPECT_EQ(told_of<TryEnded>().size(), 0u) << "it proves nothing against the box";
+  box_sends(box, box_host, box.accepted[1], object("y"));
+  EXPECT_TRUE(got(link).ends_with("y"));
+}
+
+TEST_F(Mishaps, ABoxThatForgotThePlaybackIsAskedAnew) {
+  const auto link = dial();
+  send(link, get("/a/t/r2/0"));
+  box_sends(box, box_host, box.accepted[0], object("x"));
+  told.clear();
+  got(link).clear();
+  send(link, get("/a/t/r2/1"));
+  box_sends(box, box_host, box.accepted[0], "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_EQ(told_of<TryEnded>().size(), 1u);
+  EXPECT_EQ(told_of<TryEnded>()[0].outcome, Outcome::error) << "no failure of the box";
+  ASSERT_EQ(told_of<Request>().size(), 1u);
+  box_sends(box, box_host, box.accepted.back(), object("again"));
+  EXPECT_TRUE(got(link).ends_with("again")) << got(link);
+}
+
+TEST_F(Mishaps, SilenceEndsAPlaybackAndBufferedTimeCounts) {
+  const auto link = dial();
+  send(link, get("/a/t/r2/0"));
+  box_sends(box, box_host, box.accepted[0], object("x"));
+  send(link, "GET /a/t/r2/1 HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"s1\"\r\nCMCD-Request: bl=6000\r\n\r\n");
+  box_sends(box, box_host, box.accepted[0], object("y"));
+  net.run(net.now() + 5s);
+  EXPECT_EQ(front->held().playbacks, 1u) << "six seconds are in its buffer";
+  net.run(net.now() + 4s);
+  EXPECT_EQ(front->held().playbacks, 0u);
+  ASSERT_EQ(told_of<TryEnded>().size(), 1u);
+  EXPECT_EQ(told_of<TryEnded>()[0].outcome, Outcome::served);
+}
+
+TEST_F(Mishaps, WithoutASessionIdTheConnectionIsThePlayback) {
+  const auto link = dial();
+  send(link, "GET /a/t/r2/0 HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=broken\r\n\r\n");
+  box_sends(box, box_host, box.accepted[0], object("x"));
+  send(link, "GET /a/t/r2/1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ(told_of<Request>().size(), 1u);
+  box_sends(box, box_host, box.accepted[0], object("y"));
+  viewer.next.push_back(Hang{link, false});
+  act(viewer_host);
+  EXPECT_EQ(front->held().playbacks, 0u) << "it ends with the connection";
+  EXPECT_EQ(told_of<TryEnded>().size(), 1u);
+}
+
+TEST_F(Mishaps, AViewerThatReadsNothingHoldsItsBoxNotMemory) {
+  const auto link = dial();
+  viewer.next.push_back(Hold{link});
+  act(viewer_host);
+  send(link, get("/a/t/r2/0"));
+  const std::string block(64 * 1024, 'v');
+  box_sends(box, box_host, box.accepted[0], "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n");
+  for (int i = 0; i < 64; ++i) box_sends(box, box_host, box.accepted[0], block);
+  EXPECT_LE(net.waiting_at(viewer_host), terms.most_unsent + 2 * block.size());
+  EXPECT_EQ(told_of<TryEnded>().size(), 0u) << "the box is not blamed";
+  net.run(net.now() + 20s);
+  EXPECT_EQ(front->held().viewer_links, 0u) << "it may read nothing for so long only";
+}
+
+TEST_F(Mishaps, WhatCameWhileItStoodStillIsReadBeforeItIsLate) {
+  const auto link = dial();
+  send(link, get("/a/t/r2/0"));
+  net.stand_still(front_host, net.now() + 3s);
+  box_sends(box, box_host, box.accepted[0], object("in time"));
+  net.run(net.now() + 3100ms);
+  EXPECT_TRUE(got(link).ends_with("in time")) << got(link);
+  EXPECT_EQ(told_of<TryEnded>().size(), 0u);
+}
+
+TEST_F(Mishaps, ABoxNamedAnewGetsNewConnections) {
+  const auto link = dial();
+  send(link, get("/a/t/r2/0"));
+  box_sends(box, box_host, box.accepted[0], object("x"));
+  boxes_json.replace(boxes_json.find("\"revision\":1"), 12, "\"revision\":2");
+  boxes_json.replace(boxes_json.find("\"port\":1001"), 11, "\"port\":2001");
+  net.run(net.now() + 1s);
+  EXPECT_TRUE(box.peers[box.accepted[0]].ended) << "a connection to where it was leads nowhere";
+  const auto lists = told_of<ServerList>();
+  ASSERT_FALSE(lists.empty());
+  EXPECT_EQ(lists.back().entries[0].server, 0u) << "the same box keeps its index";
+}
+
+TEST_F(Mishaps, MalformedRequestsGetOneClearAnswerEach) {
+  const std::pair<std::string, std::string> cases[] = {{"GET /nowhere HTTP/1.1\r\n\r\n", "404"},
+                                                       {"GET /b/t/r1/0 HTTP/1.1\r\n\r\n", "404"},
+                                                       {"GET /a/t/rx/0 HTTP/1.1\r\n\r\n", "404"},
+                                                       {"GET /a/../r1/0 HTTP/1.1\r\n\r\n", "404"},
+                                                       {"GET /a/%2e%2e/r1/0 HTTP/1.1\r\n\r\n", "404"},
+                                                       {"GET /a/t%2Fu/r1/0 HTTP/1.1\r\n\r\n", "404"},
+                                                       {"GET /a/t%zz/r1/0 HTTP/1.1\r\n\r\n", "404"},
+                                                       {"POST /a/t/r1/0 HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "405"},
+                                                       {"HEAD /a/t/r1/0 HTTP/1.1\r\n\r\n", "405"},
+                                                       {"nonsense\r\n\r\n", "400"}};
+  for (const auto& [text, status] : cases) {
+    const auto link = dial();
+    send(link, text);
+    EXPECT_TRUE(got(link).starts_with("HTTP/1.1 " + status)) << text << got(link);
+    viewer.next.push_back(Hang{link, false});
+    act(viewer_host);
+  }
+  EXPECT_EQ(told_of<Request>().size(), 0u);
+  EXPECT_EQ(front->held().viewer_links, 0u);
+}
+
+TEST_F(Mishaps, PipelinedRequestsAreAnsweredInOrder) {
+  const auto link = dial();
+  send(link, get("/a/t/r2/0") + get("/nowhere") + get("/a/t/r2/1"));
+  EXPECT_EQ(asked(box).size(), 1u);
+  box_sends(box, box_host, box.accepted[0], object("first"));
+  const auto text = got(link);
+  EXPECT_NE(text.find("first"), std::string::npos);
+  EXPECT_GT(text.find("HTTP/1.1 404"), text.find("first"));
+  box_sends(box, box_host, box.accepted[0], object("second"));
+  EXPECT_TRUE(got(link).ends_with("second"));
+}
+
+TEST_F(Mishaps, AnOrderlyStopAnswersEverybody) {
+  const auto waiting = dial(), playing = dial(), idle = dial();
+  send(playing, get("/a/t/r2/0", "p"));
+  box_sends(box, box_host, box.accepted[0], "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab");
+  send(waiting, get("/a/t/r2/0", "w"));
+  net.tell_to_stop(front_host);
+  net.run(net.now() + 5ms);
+  EXPECT_TRUE(viewer.peers[idle].half_closed);
+  EXPECT_FALSE(net.left(front_host));
+  box_sends(box, box_host, box.accepted[0], "cd");
+  EXPECT_TRUE(got(playing).ends_with("abcd"));
+  box_sends(box, box_host, box.accepted[1], object("x"));
+  EXPECT_TRUE(got(waiting).starts_with("HTTP/1.1 200")) << got(waiting);
+  net.run(net.now() + 50ms);
+  EXPECT_TRUE(net.left(front_host));
+}
+
+TEST_F(Mishaps, AfterADayOfMishapsNothingIsHeld) {
+  for (int i = 0; i < 40; ++i) {
+    const auto link = dial();
+    send(link, get("/a/t" + std::to_string(i % 5) + "/r2/0", "s" + std::to_string(i)));
+    const auto links = asked(box);
+    if (i % 3 == 0 && !links.empty()) box_sends(box, box_host, links.back(), object("x"));
+    if (i % 2 == 0) viewer.next.push_back(Hang{link, i % 4 == 0}), act(viewer_host);
+    if (i % 7 == 0) net.run(net.now() + 1s);
+    for (auto& [l, peer] : box.peers) peer.got.clear();
+  }
+  for (Link link = 1; link < next_link; ++link) viewer.next.push_back(Hang{link, false});
+  act(viewer_host);
+  net.run(net.now() + 30s);
+  EXPECT_EQ(front->held().playbacks, 0u);
+  EXPECT_EQ(front->held().viewer_links, 0u);
+  EXPECT_LE(front->held().timers, 3u) << "the list's, the weighing's and no other";
+}
+
+}  // namespace
+}  // namespace violettide::manager
