--- /dev/null
+++ b/bench/path.cpp
@@ -0,0 +1,310 @@
+#include "path.h"
+
+#include <malloc.h>
+#include <time.h>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+#include <unordered_map>
+
+#include "hints/cmcd.h"
+#include "manager/manager.h"
+#include "runtime/runtime.h"
+
+namespace violettide::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+double thread_cpu_us() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+}
+
+// Leaves when another thread says so: the loop has no way in from outside but time.
+class Leaves : public Core {
+ public:
+  std::atomic<bool> leave{false};
+  void handle(Span now, const Happening& what, std::vector<Act>& acts) final {
+    happened(now, what, acts);
+    if (now >= look_at_) {
+      look_at_ = now + 20ms;
+      if (leave) acts.push_back(Leave{});
+    }
+    if (std::holds_alternative<Woken>(what) || !woken_) woken_ = true, acts.push_back(WakeAt{now + 20ms});
+  }
+  virtual void happened(Span now, const Happening& what, std::vector<Act>& acts) = 0;
+
+ private:
+  Span look_at_{0};
+  bool woken_ = false;
+};
+
+// Answers every request at once with the same object, and with a list of itself.
+class QuickBox : public Leaves {
+ public:
+  QuickBox(std::size_t bytes) : object_(bytes, 'v') {}
+  std::uint16_t port = 0;
+  void happened(Span, const Happening& what, std::vector<Act>& acts) override {
+    if (const auto* ended = std::get_if<Ended>(&what)) readers_.erase(ended->link);
+    if (const auto* half = std::get_if<HalfClosed>(&what)) acts.push_back(Hang{half->link, false}), readers_.erase(half->link);
+    const auto* received = std::get_if<Received>(&what);
+    if (!received) return;
+    auto& reader = readers_[received->link];
+    reader.push(received->bytes);
+    while (auto request = reader.next()) {
+      if (request->target == "/boxes") {
+        const auto list = R"({"revision":1,"clock_ms":1,"boxes":[{"name":"b","address":"127.0.0.1","port":)" + std::to_string(port) +
+                          R"(,"state":"ready","kind":0,"cell":0,"hall":"h","weight":1}]})";
+        acts.push_back(Send{received->link, http::head_text(200, {}, list.size(), false) + list});
+        acts.push_back(Hang{received->link, true});
+        readers_.erase(received->link);
+        return;
+      }
+      const bool probe = request->method == "HEAD";
+      acts.push_back(Send{received->link, http::head_text(200, {{"Content-Type", "video/mp4"}, {"CMSD-Static", "br=2400,d=1000,ot=v"},
+                                                                {"CMSD-Dynamic", "\"b\";org.violettide-streams=3;org.violettide-util=0.1"}},
+                                                          probe ? 0 : object_.size(), true) + (probe ? "" : object_)});
+    }
+  }
+
+ private:
+  std::string object_;
+  std::unordered_map<Link, http::RequestReader> readers_;
+};
+
+// The same relay with no decisions in it: one box, kept connections, messages parsed and written alike.
+class Relay : public Leaves {
+ public:
+  std::uint16_t box = 0;
+  void happened(Span, const Happening& what, std::vector<Act>& acts) override {
+    std::visit(Visit{
+                   [&](const Accepted& a) { viewers_[a.link]; },
+                   [&](const Connected& c) {
+                     auto& link = boxes_[c.link];
+                     link.connected = true;
+                     acts.push_back(Send{c.link, std::move(link.waiting)});
+                   },
+                   [&](const Received& r) {
+                     if (r.link >= first_accepted) return request(r.link, r.bytes, acts);
+                     auto& link = boxes_[r.link];
+                     auto part = link.reader.push(r.bytes);
+                     if (part.head) {
+                       http::Fields fields;
+                       for (auto& [name, value] : part.head->fields) {
+                         if (!http::same_name(name, "Content-Length") && !http::same_name(name, "Connection")) fields.emplace_back(name, value);
+                       }
+                       fields.emplace_back("Via", "1.1 relay");
+                       acts.push_back(Send{link.viewer, http::head_text(part.head->status, fields, part.head->length, true)});
+                     }
+                     if (!part.body.empty()) acts.push_back(Send{link.viewer, std::move(part.body)});
+                     if (part.done) idle_.push_back(r.link);
+                   },
+                   [&](const HalfClosed& h) { acts.push_back(Hang{h.link, false}), viewers_.erase(h.link); },
+                   [&](const Ended& e) { viewers_.erase(e.link); },
+                   [&](const auto&) {},
+               },
+               what);
+  }
+
+ private:
+  struct BoxLink {
+    http::ResponseReader reader;
+    Link viewer = 0;
+    bool connected = false;
+    std::string waiting;
+  };
+  void request(Link viewer, std::string_view bytes, std::vector<Act>& acts) {
+    auto& reader = viewers_[viewer];
+    reader.push(bytes);
+    while (auto request = reader.next()) {
+      Link to = 0;
+      if (idle_.empty()) {
+        to = next_++;
+        acts.push_back(Dial{to, "127.0.0.1", box});
+      } else {
+        to = idle_.back();
+        idle_.pop_back();
+      }
+      auto& link = boxes_[to];
+      link.viewer = viewer;
+      link.reader.expect(false);
+      request->fields.emplace_back("Via", "1.1 relay");
+      auto text = http::request_text("GET", request->target, request->fields);
+      if (link.connected) acts.push_back(Send{to, std::move(text)});
+      else link.waiting = std::move(text);
+    }
+  }
+  std::unordered_map<Link, http::RequestReader> viewers_;
+  std::unordered_map<Link, BoxLink> boxes_;
+  std::vector<Link> idle_;
+  Link next_ = 1;
+};
+
+class Fronted : public Leaves {
+ public:
+  explicit Fronted(manager::FrontTerms terms) : manager_(std::move(terms), 1, "", nullptr) {}
+  void happened(Span now, const Happening& what, std::vector<Act>& acts) override { manager_.handle(now, what, acts); }
+
+ private:
+  manager::Manager manager_;
+};
+
+// Closed loop: each connection asks its next object when it has the last.
+class Load : public Core {
+ public:
+  Load(std::uint16_t port, std::size_t connections, std::size_t requests) : port_(port), connections_(connections), left_(requests) {}
+  std::vector<double> times_us;
+  std::size_t failed = 0;
+  void handle(Span, const Happening& what, std::vector<Act>& acts) override {
+    if (std::holds_alternative<Woken>(what) && links_.empty()) {
+      for (Link link = 1; link <= connections_; ++link) links_[link], acts.push_back(Dial{link, "127.0.0.1", port_});
+      return;
+    }
+    if (const auto* connected = std::get_if<Connected>(&what)) return ask(connected->link, acts);
+    if (const auto* received = std::get_if<Received>(&what)) {
+      auto& peer = links_[received->link];
+      const auto part = peer.reader.push(received->bytes);
+      if (part.head && part.head->status != 200) ++failed;
+      if (!part.done) return;
+      times_us.push_back(std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - peer.sent).count());
+      return ask(received->link, acts);
+    }
+    if (std::holds_alternative<Ended>(what) || std::holds_alternative<HalfClosed>(what)) ++failed, acts.push_back(Leave{});
+  }
+
+ private:
+  struct Peer {
+    http::ResponseReader reader;
+    std::chrono::steady_clock::time_point sent;
+    std::size_t objects = 0;
+  };
+  void ask(Link link, std::vector<Act>& acts) {
+    if (left_ == 0) {
+      if (--connections_ == 0) acts.push_back(Leave{});
+      return;
+    }
+    --left_;
+    auto& peer = links_[link];
+    hints::Cmcd said;
+    said.session_id = "session-" + std::to_string(link);
+    said.buffer_length = 4000;
+    said.object_duration = 1000;
+    said.measured_throughput = 24000;
+    http::Fields fields{{"Host", "x"}};
+    for (auto& field : hints::cmcd_headers(said)) fields.push_back(std::move(field));
+    peer.reader.expect(false);
+    peer.sent = std::chrono::steady_clock::now();
+    acts.push_back(Send{link, http::request_text("GET", "/a/title-" + std::to_string(link % 50) + "/r0/" + std::to_string(peer.objects++), fields)});
+  }
+  std::uint16_t port_;
+  std::size_t connections_, left_;
+  std::unordered_map<Link, Peer> links_;
+};
+
+manager::FrontTerms terms_for(std::size_t playbacks) {
+  manager::FrontTerms terms;
+  terms.site.rung_kb = {300};
+  terms.site.rung_revenue = {1};
+  terms.site.plans.resize(1);
+  terms.site.plans[0].startup_target = 800ms;
+  terms.plans = {{"a", 4s}};
+  terms.halls = {"h"};
+  terms.site.kind_streams = {static_cast<double>(2 * playbacks + 100)};
+  terms.site.link_kb_per_weight = 300.0 * static_cast<double>(2 * playbacks + 100);
+  terms.site.weights_told = true;
+  terms.site.may_probe = true;
+  terms.site.most_tries = 3;
+  terms.site.note_lag = 1s;
+  terms.copies = 1;
+  terms.links_per_box = playbacks + 8;
+  terms.idle_links_per_box = playbacks + 8;
+  terms.viewer_links = playbacks + 8;
+  terms.silence = 60s;
+  return terms;
+}
+
+}  // namespace
+
+Measured run_path(Way way, std::size_t connections, std::size_t requests, std::size_t object_bytes) {
+  QuickBox box(object_bytes);
+  runtime::Loop box_loop(box, {{"127.0.0.1", 0}}, {}, "");
+  box.port = box_loop.port(0);
+  std::unique_ptr<Leaves> front;
+  if (way == Way::relay) {
+    auto relay = std::make_unique<Relay>();
+    relay->box = box.port;
+    front = std::move(relay);
+  } else if (way == Way::manager) {
+    auto terms = terms_for(connections);
+    terms.list_port = box.port;
+    front = std::make_unique<Fronted>(std::move(terms));
+  }
+  std::unique_ptr<runtime::Loop> front_loop;
+  if (front) front_loop = std::make_unique<runtime::Loop>(*front, std::vector<runtime::Listening>{{"127.0.0.1", 0}}, nullptr, "");
+  double front_cpu = 0;
+  std::thread box_thread([&] { box_loop.run(); });
+  std::thread front_thread([&] {
+    if (!front_loop) return;
+    const double before = thread_cpu_us();
+    front_loop->run();
+    front_cpu = thread_cpu_us() - before;
+  });
+  if (way == Way::manager) std::this_thread::sleep_for(300ms);  // its list is in by then; a failed request would be counted
+  Load load(front_loop ? front_loop->port(0) : box.port, connections, requests);
+  runtime::Loop load_loop(load, {}, {}, "");
+  const auto from = std::chrono::steady_clock::now();
+  load_loop.run();
+  const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - from).count();
+  box.leave = true;
+  if (front) front->leave = true;
+  box_thread.join();
+  front_thread.join();
+  if (load.failed > 0) std::fprintf(stderr, "%zu requests failed\n", load.failed);
+  std::sort(load.times_us.begin(), load.times_us.end());
+  Measured measured;
+  const auto count = load.times_us.size();
+  if (count == 0) return measured;
+  measured.per_second = static_cast<double>(count) / took;
+  measured.median_us = load.times_us[count / 2];
+  measured.p99_us = load.times_us[count * 99 / 100];
+  measured.front_cpu_us = front_cpu / static_cast<double>(count);
+  return measured;
+}
+
+double bytes_a_playback(std::size_t playbacks) {
+  auto terms = terms_for(playbacks);
+  manager::Manager front(terms, 1, "{\"revision\":1,\"clock_ms\":1,\"boxes\":[{\"name\":\"b\",\"address\":\"127.0.0.1\",\"port\":1,\"state\":\"ready\",\"kind\":0,\"cell\":0,\"hall\":\"h\",\"weight\":1}]}", nullptr);
+  std::vector<Act> acts;
+  Span now = 1ms;
+  front.handle(now, Woken{}, acts);
+  const auto before = mallinfo2();
+  const auto used_before = before.uordblks + before.hblkhd;
+  for (std::size_t i = 0; i < playbacks; ++i) {
+    const auto viewer = first_accepted + static_cast<Link>(i);
+    acts.clear();
+    front.handle(now, Accepted{viewer, 0}, acts);
+    front.handle(now, Received{viewer, "GET /a/title-" + std::to_string(i) + "/r0/0 HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"session-" + std::to_string(i) + "\"\r\n\r\n"}, acts);
+    // Probes are answered and the try is answered, as by a box that is well.
+    for (int round = 0; round < 6; ++round) {
+      std::vector<Act> doing;
+      doing.swap(acts);
+      for (const auto& act : doing) {
+        if (const auto* dial = std::get_if<Dial>(&act)) front.handle(now, Connected{dial->link}, acts);
+        const auto* send = std::get_if<Send>(&act);
+        if (!send || send->link >= first_accepted) continue;
+        if (send->bytes.starts_with("HEAD")) front.handle(now, Received{send->link, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}, acts);
+        else front.handle(now, Received{send->link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"}, acts);
+      }
+    }
+  }
+  const auto after = mallinfo2();
+  const auto held = front.held();
+  if (held.playbacks != playbacks) std::fprintf(stderr, "only %zu of %zu playbacks are held\n", held.playbacks, playbacks);
+  return static_cast<double>(after.uordblks + after.hblkhd - used_before) / static_cast<double>(std::max<std::size_t>(1, held.playbacks));
+}
+
+}  // namespace violettide::bench
--- /dev/null
+++ b/bench/path.h
@@ -0,0 +1,23 @@
+// A whole path on loopback, measured: viewers' requests straight to a box, through a relay that decides
+// nothing, and through the manager. Each part runs a loop in a thread of its own.
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+namespace violettide::bench {
+
+enum class Way { straight, relay, manager };
+
+struct Measured {
+  double per_second = 0;
+  double median_us = 0, p99_us = 0;
+  double front_cpu_us = 0;  // of the front's thread, for each request
+};
+// So many requests over so many connections, each connection one playback that asks object after object.
+Measured run_path(Way way, std::size_t connections, std::size_t requests, std::size_t object_bytes);
+
+// Bytes of heap for each playback that a manager holds open, over so many.
+double bytes_a_playback(std::size_t playbacks);
+
+}  // namespace violettide::bench
--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -148,6 +148,7 @@
         continue;
       }
       const auto* end = !ask.answers.empty() ? ask.answers.front() : ask.left;
+      if (end && end->state() == "refused") continue;  // no manager took it: the connection was never made
       if (end && ran(asked.manager(), asked.at_us(), std::min(end->at_us(), until)))
         broke(1, end->at_us(),
               "playback " + trace + " got no answer from " + asked.manager() + ", which ran all the while",
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -241,6 +241,7 @@
     terms_.rung_revenue.resize(terms_.rung_kb.size(), 1);
     terms_.fronts = std::max(1, terms_.fronts);
     terms_.cells = std::max(1, terms_.cells);
+    cells_.resize(static_cast<std::size_t>(terms_.cells));  // a request may come before any list
     racks_.resize(static_cast<std::size_t>(std::max(1, terms_.racks)));
   }
 
--- a/src/runtime/runtime.cpp
+++ b/src/runtime/runtime.cpp
@@ -50,10 +50,17 @@
           &signals_[i], [](uv_signal_t* h, int) { of(h)->deliver(StopAsked{}); }, i == 0 ? SIGINT : SIGTERM);
     }
     doors_.resize(places_.size());
-    for (std::size_t i = 0; i < places_.size(); ++i) open(static_cast<int>(i));
+    try {
+      for (std::size_t i = 0; i < places_.size(); ++i) open(static_cast<int>(i));
+    } catch (const Failed&) {
+      close_all();  // the loop still knows of handles within this object
+      throw;
+    }
   }
 
-  ~Inside() {
+  ~Inside() { close_all(); }
+
+  void close_all() {
     uv_walk(
         &loop_,
         [](uv_handle_t* handle, void*) {
--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -213,6 +213,7 @@
 }
 
 bool Fleet::mute(int box) const {
+  if (box >= static_cast<int>(boxes_.size())) return true;  // the list service, while it answers nothing
   return !boxes_[box].up || ill_with(box, Ill::hang) || ill_with(box, Ill::vanish);
 }
 
--- a/src/standins/viewers.h
+++ b/src/standins/viewers.h
@@ -58,7 +58,7 @@
   void request_text(Viewer& viewer);
   void came_part(Viewer& viewer, http::ResponseReader::Part part, std::vector<Act>& acts);
   void object_whole(Viewer& viewer, std::vector<Act>& acts);
-  void broke(Viewer& viewer, std::vector<Act>& acts);
+  void broke(Viewer& viewer, std::vector<Act>& acts, bool refused = false);
   void rest(Viewer& viewer, Span pause, std::vector<Act>& acts);
   void leave(Viewer& viewer, std::vector<Act>& acts, const char* cause);
   void hang(Viewer& viewer, std::vector<Act>& acts);
--- /dev/null
+++ b/tests/program/audit_test.cpp
@@ -0,0 +1,386 @@
+// Whole days of the very manager, boxes, list and viewers on the network in memory: with the module all
+// rules are kept; with a break planted for each rule the auditor says so from the traces alone.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "audit/audit.h"
+#include "manager/manager.h"
+#include "net.h"
+#include "standins/fleet.h"
+#include "standins/viewers.h"
+
+namespace violettide {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::Net;
+
+const char* settings_text = R"(
+ladder(rates = [kB_per_s(10), kB_per_s(20), kB_per_s(40)], revenue = [0.5, 0.8, 1])
+plan(name = "plain", startup_target = ms(800), abandon = s(3), floor = 1)
+plan(name = "seated", startup_target = ms(800), abandon = s(3), seats = 3)
+plan(name = "paid", startup_target = ms(800), abandon = s(3), pay_at_setup = True)
+hall("h")
+kind(streams = 12)
+fleet(cells = 3, racks = 3, copies = 3, link = kB_per_s(400), uplink = kB_per_s(700))
+objects(length = ms(500), note_lag = ms(500))
+rules(cold = s(10), cold_from = 0.4, overload_multiple = 3, fall = s(3), drain_grace = s(1),
+      budget_window = s(5), budget_free = 2, budget_share = 0.2)
+box_list(every = ms(300))
+limits(silence = s(2))
+)";
+
+standins::Day day_of(const std::string& own) {
+  const std::map<std::string, std::string> texts{{"f.star", settings_text}, {"d.star", "load(\"f.star\")\n" + own}};
+  const auto read = standins::read_day("d.star", [&](const std::string& path) -> std::optional<std::string> {
+    const auto found = texts.find(path);
+    return found == texts.end() ? std::nullopt : std::optional(found->second);
+  });
+  if (const auto* mistakes = std::get_if<settings::Mistakes>(&read)) throw std::runtime_error(mistakes->front().text());
+  return std::get<standins::Day>(read);
+}
+
+// The module, with a break in what it says.
+class Bent : public manager::Decider {
+ public:
+  using Bend = std::function<std::vector<Order>(Span, const Event&, std::vector<Order>)>;
+  Bent(const SiteTerms& terms, std::uint64_t seed, Bend bend) : module_(manager::module_decider(terms, seed)), bend_(std::move(bend)) {}
+  std::vector<Order> decide(Span now, const Event& event) override {
+    auto orders = module_->decide(now, event);
+    return bend_ ? bend_(now, event, std::move(orders)) : orders;
+  }
+
+ private:
+  std::unique_ptr<manager::Decider> module_;
+  Bend bend_;
+};
+
+// A manager whose bytes are tampered with on their way out.
+class Tampered : public Core {
+ public:
+  Tampered(Core& inner, std::function<void(std::vector<Act>&)> tamper) : inner_(inner), tamper_(std::move(tamper)) {}
+  void handle(Span now, const Happening& what, std::vector<Act>& acts) override {
+    std::vector<Act> made;
+    inner_.handle(now, what, made);
+    if (tamper_) tamper_(made);
+    for (auto& act : made) acts.push_back(std::move(act));
+  }
+
+ private:
+  Core& inner_;
+  std::function<void(std::vector<Act>&)> tamper_;
+};
+
+struct PlayedDay {
+  audit::Verdict verdict;
+  std::vector<trace::Passed> records;
+  std::size_t held = 0;
+  int broken(int rule) const {
+    return static_cast<int>(std::count_if(verdict.broken.begin(), verdict.broken.end(), [&](auto& b) { return b.rule == rule; }));
+  }
+};
+
+PlayedDay play(const standins::Day& day, Bent::Bend bend = {}, std::function<void(std::vector<Act>&)> tamper = {},
+               std::function<void(Net&, std::vector<int>&, const std::function<void(int)>&, std::vector<trace::Passed>&)> deeds = {}) {
+  Net net;
+  PlayedDay played;
+  const auto sink = [&](const trace::Passed& record) { played.records.push_back(record); };
+  const int boxes = static_cast<int>(day.boxes.size());
+  std::vector<std::uint16_t> ports;
+  for (int i = 0; i <= boxes; ++i) ports.push_back(Net::port(0, i));
+  standins::Fleet fleet(day, ports, Span(0), sink);
+  net.add(fleet, boxes + 1);
+  std::deque<std::unique_ptr<manager::Manager>> managers;
+  std::deque<Tampered> outer;
+  std::vector<standins::Door> doors;
+  std::vector<int> hosts;
+  const auto make = [&](int i, std::string cached) -> Core& {
+    auto front = day.deployment.front;
+    front.name = "m" + std::to_string(i);
+    front.list_port = Net::port(0, boxes);
+    managers.push_back(std::make_unique<manager::Manager>(front, 7 + static_cast<std::uint64_t>(i), std::move(cached),
+                                                          std::make_unique<Bent>(front.site, 7 + static_cast<std::uint64_t>(i), bend)));
+    outer.emplace_back(*managers.back(), tamper);
+    trace::Passed started;
+    started.set_at_us(static_cast<std::uint64_t>(net.now().count()));
+    started.set_kind(trace::Passed::STARTED);
+    started.set_manager(front.name);
+    sink(started);
+    return outer.back();
+  };
+  for (int i = 0; i < day.managers; ++i) {
+    hosts.push_back(net.add(make(i, ""), 1));
+    doors.push_back({"m" + std::to_string(i), Net::port(hosts.back()), 0});
+  }
+  net.run(500ms);
+  standins::Viewers viewers(day, doors, Span(0), 0, sink);
+  const int audience = net.add(viewers, 0);
+  const std::function<void(int)> restart = [&](int i) { net.replace(hosts[i], make(i, net.stored(hosts[i], "boxes.json").value_or(""))); };
+  if (deeds) deeds(net, hosts, restart, played.records);
+  for (int second = 1; second < 200 && !net.left(audience); ++second) net.run(day.length + second * 1s);
+  EXPECT_TRUE(net.left(audience)) << "the viewers did not end";
+  net.run(net.now() + 20s);  // for every silence to be over
+  for (const auto& manager : managers) {
+    if (manager == managers.back() || !deeds) played.held += manager->held().playbacks;
+  }
+  played.verdict = audit::check(day, played.records);
+  return played;
+}
+
+const std::string calm = "day(length = s(20), seed = 3, managers = 2)\nboxes(count = 6, list_lag = ms(500))\n"
+                         "viewers(per_second = 5, least_watch = s(2), most_watch = s(8), titles = 6, plan_shares = [2, 2, 2])\n";
+const std::string troubled = calm +
+                             "trouble(kind = \"crash\", at = s(3), lasts = s(3), boxes = [0, 1])\n"
+                             "trouble(kind = \"hang\", at = s(4), lasts = s(4), boxes = [2])\n"
+                             "trouble(kind = \"answer_lost\", at = s(6), lasts = s(6), boxes = [3])\n"
+                             "trouble(kind = \"drain\", at = s(8), lasts = s(8), boxes = [4, 5], size = 4)\n";
+
+TEST(Days, TheModuleKeepsAllRulesOnACalmDay) {
+  const auto played = play(day_of(calm));
+  EXPECT_TRUE(played.verdict.kept()) << audit::table(played.verdict);
+  EXPECT_GT(played.verdict.asks, 80u);
+  double earned = 0, offered = 0;
+  for (const auto& plan : played.verdict.plans) earned += plan.earned, offered += plan.offered;
+  EXPECT_GT(earned, 0.6 * offered) << audit::table(played.verdict);
+  EXPECT_EQ(played.held, 0u) << "playbacks are left over";
+}
+
+TEST(Days, TheModuleKeepsAllRulesThroughTroubles) {
+  for (const auto* seed : {"seed = 3", "seed = 4", "seed = 5", "seed = 6", "seed = 7", "seed = 8"}) {
+    auto text = troubled + "trouble(kind = \"vanish\", at = s(10), lasts = s(4), boxes = [0])\n"
+                           "trouble(kind = \"list_late\", at = s(5), lasts = s(10), size = 2)\n"
+                           "trouble(kind = \"crowd\", at = s(9), lasts = s(4), size = 8)\n"
+                           "trouble(kind = \"ageing\", at = s(11), lasts = s(6), boxes = [1], size = 5)\n"
+                           "trouble(kind = \"neighbour\", at = s(2), lasts = s(15), boxes = [2, 3], size = 0.6)\n"
+                           "trouble(kind = \"list_down\", at = s(16), lasts = s(2))\n";
+    text.replace(text.find("seed = 3"), 8, seed);
+    const auto played = play(day_of(text));
+    EXPECT_TRUE(played.verdict.kept()) << seed << "\n" << audit::table(played.verdict);
+    EXPECT_EQ(played.held, 0u) << seed;
+  }
+}
+
+TEST(Days, RulesHoldAcrossRestartsAndStandingStill) {
+  const auto played = play(day_of(troubled), {}, {}, [](Net& net, std::vector<int>& hosts, const std::function<void(int)>& restart, std::vector<trace::Passed>& records) {
+    const auto fact = [&](trace::Passed::Kind kind, int manager, double value) {
+      trace::Passed record;
+      record.set_at_us(static_cast<std::uint64_t>(net.now().count()));
+      record.set_kind(kind);
+      record.set_manager("m" + std::to_string(manager));
+      record.set_value(value);
+      records.push_back(record);
+    };
+    for (int round = 0; round < 4; ++round) {
+      net.run((4 + 4 * round) * 1s);
+      const int i = round % 2;
+      if (round < 2) {
+        fact(trace::Passed::KILLED, i, 0);
+        net.kill(hosts[i]);
+        net.run(net.now() + 700ms);
+        restart(i);
+      } else {
+        fact(trace::Passed::STOOD_STILL, i, 2.2);
+        net.stand_still(hosts[i], net.now() + 2s);
+      }
+    }
+  });
+  EXPECT_TRUE(played.verdict.kept()) << audit::table(played.verdict);
+}
+
+TEST(Days, TheSameDayPlaysTheSameWay) {
+  const auto one = play(day_of(troubled)), two = play(day_of(troubled));
+  ASSERT_EQ(one.records.size(), two.records.size());
+  for (std::size_t i = 0; i < one.records.size(); ++i) ASSERT_EQ(one.records[i].SerializeAsString(), two.records[i].SerializeAsString()) << i;
+}
+
+TEST(Hints, MissingOrMalformedOnesCostNoOutcomeAndNoFloor) {
+  auto text = troubled;
+  text.replace(text.find("titles = 6"), 10, "titles = 6, hintless = 0.4, malformed = 0.6");
+  const auto played = play(day_of(text));
+  EXPECT_TRUE(played.verdict.kept()) << audit::table(played.verdict);
+  std::size_t answered = 0;
+  for (const auto& plan : played.verdict.plans) answered += plan.plays + plan.rejected + plan.aborted;
+  EXPECT_GT(answered, 60u);
+}
+
+TEST(Hints, AUtilThatContradictsDeliveriesWinsNoMoreViewers) {
+  // Two boxes lose most of their links to another program; they say that they are nearly idle, or say the truth.
+  const std::string squeezed = calm + "trouble(kind = \"neighbour\", at = s(0), lasts = s(20), boxes = [0, 1], size = 0.9)\n";
+  const auto share_there = [](const PlayedDay& played) {
+    double there = 0, all = 0;
+    for (const auto& record : played.records) {
+      if (record.kind() != trace::Passed::SET_UP) continue;
+      ++all;
+      if (record.box() == "box-0" || record.box() == "box-1") ++there;
+    }
+    return there / all;
+  };
+  const auto lying = play(day_of(squeezed + "trouble(kind = \"false_cmsd\", at = s(0), lasts = s(20), boxes = [0, 1], size = 0.05)\n"));
+  EXPECT_TRUE(lying.verdict.kept()) << audit::table(lying.verdict);
+  EXPECT_LT(share_there(lying), 1.0 / 3) << "a third of the boxes, and the worst";
+}
+
+// ---- planted breaks ----
+
+TEST(Planted, ASwallowedAnswerIsRule1) {
+  int seen = 0;
+  const auto played = play(day_of(calm), {}, [&](std::vector<Act>& acts) {
+    std::erase_if(acts, [&](const Act& act) {
+      const auto* send = std::get_if<Send>(&act);
+      return send && send->link >= first_accepted && send->bytes.starts_with("HTTP/1.1 200") && ++seen % 40 == 0;
+    });
+  });
+  EXPECT_GT(played.broken(1), 0) << audit::table(played.verdict);
+}
+
+TEST(Planted, ASecondAnswerIsRule1) {
+  std::map<Link, int> heads;
+  const auto played = play(day_of(calm), {}, [&](std::vector<Act>& acts) {
+    std::vector<Act> doubled;
+    for (const auto& act : acts) {
+      doubled.push_back(act);
+      const auto* send = std::get_if<Send>(&act);
+      if (!send || send->link < first_accepted) continue;
+      if (send->bytes.starts_with("HTTP/1.1 200")) ++heads[send->link];
+      else if (heads[send->link] == 1 && send->link % 5 == 0) doubled.push_back(act);
+    }
+    acts = std::move(doubled);
+  });
+  EXPECT_GT(played.broken(1), 0) << audit::table(played.verdict);
+}
+
+TEST(Planted, APaidPlaybackSentAgainIsRule2) {
+  std::map<PlaybackId, int> plan_of;
+  const auto played = play(day_of(troubled), [&](Span, const Event& event, std::vector<Order> orders) {
+    if (const auto* request = std::get_if<Request>(&event)) plan_of[request->playback] = request->plan;
+    for (auto& order : orders) {
+      const auto* ended = std::get_if<TryEnded>(&event);
+      const auto* aborted = std::get_if<Abort>(&order);
+      if (ended && aborted && plan_of[aborted->playback] == 2) order = violettide::SetUp{aborted->playback, (ended->server + 1) % 6, 300ms};
+    }
+    return orders;
+  });
+  EXPECT_GT(played.broken(2), 0) << audit::table(played.verdict);
+}
+
+TEST(Planted, TwoTriesOutAtOnceIsRule2) {
+  int seen = 0;
+  const auto played = play(day_of(calm), [&](Span, const Event&, std::vector<Order> orders) {
+    for (std::size_t i = 0; i < orders.size(); ++i) {
+      const auto* set_up = std::get_if<violettide::SetUp>(&orders[i]);
+      if (set_up && ++seen % 20 == 0) {
+        const violettide::SetUp again{set_up->playback, (set_up->server + 1) % 6, set_up->time_limit};
+        orders.insert(orders.begin() + static_cast<long>(i) + 1, again);
+        ++i;
+      }
+    }
+    return orders;
+  });
+  EXPECT_GT(played.broken(2), 0) << audit::table(played.verdict);
+}
+
+TEST(Planted, ATryToADrainingBoxIsRule3) {
+  std::set<ServerId> draining;
+  const auto played = play(day_of(troubled), [&](Span, const Event& event, std::vector<Order> orders) {
+    if (const auto* list = std::get_if<ServerList>(&event)) {
+      for (const auto& entry : list->entries) {
+        if (entry.standing == Standing::draining) draining.insert(entry.server);
+      }
+    }
+    for (auto& order : orders) {
+      if (auto* set_up = std::get_if<violettide::SetUp>(&order); set_up && !draining.empty()) set_up->server = *draining.begin();
+    }
+    return orders;
+  });
+  EXPECT_GT(played.broken(3), 0) << audit::table(played.verdict);
+}
+
+TEST(Planted, AColdBoxPushedOverIsRule4) {
+  std::optional<ServerId> started;
+  const auto played = play(day_of(calm + "trouble(kind = \"crash\", at = s(4), lasts = s(2), boxes = [0])\n"), [&](Span now, const Event& event, std::vector<Order> orders) {
+    if (const auto* list = std::get_if<ServerList>(&event)) {
+      for (const auto& entry : list->entries) {
+        if (entry.started && *entry.started > 0s && now - *entry.started < 9s && entry.standing == Standing::ready) started = entry.server;
+      }
+    }
+    for (auto& order : orders) {
+      if (auto* set_up = std::get_if<violettide::SetUp>(&order); set_up && started) set_up->server = *started;
+    }
+    return orders;
+  });
+  EXPECT_GT(played.broken(4), 0) << audit::table(played.verdict);
+}
+
+TEST(Planted, ARungUnderTheFloorIsRule5) {
+  int seen = 0;
+  const auto played = play(day_of(calm), {}, [&](std::vector<Act>& acts) {
+    for (auto& act : acts) {
+      auto* send = std::get_if<Send>(&act);
+      if (!send || !send->bytes.starts_with("GET /plain/")) continue;
+      const auto rung = send->bytes.rfind("/r", send->bytes.find(".m4s"));
+      if (++seen % 30 == 0) send->bytes[rung + 2] = '0';
+    }
+  });
+  EXPECT_GT(played.broken(5), 0) << audit::table(played.verdict);
+}
+
+TEST(Planted, MorePlaybacksThanSeatsIsRule5) {
+  std::map<PlaybackId, Request> asked;
+  const auto played = play(day_of(calm + "trouble(kind = \"crowd\", at = s(2), lasts = s(10), size = 8)\n"), [&](Span, const Event& event, std::vector<Order> orders) {
+    if (const auto* request = std::get_if<Request>(&event)) {
+      asked[request->playback] = *request;
+      for (auto& order : orders) {
+        if (std::holds_alternative<Reject>(order) && request->plan == 1) order = violettide::SetUp{request->playback, 3, 2s};
+      }
+    }
+    return orders;
+  });
+  EXPECT_GT(played.broken(5), 0) << audit::table(played.verdict);
+}
+
+TEST(Planted, TriesWithoutEndIsRule6) {
+  std::map<PlaybackId, int> tries;
+  const auto played = play(day_of(troubled), [&](Span, const Event& event, std::vector<Order> orders) {
+    const auto* ended = std::get_if<TryEnded>(&event);
+    if (!ended || ended->over || ++tries[ended->playback] > 12) return orders;
+    std::erase_if(orders, [&](const Order& order) {
+      const auto* rejected = std::get_if<Reject>(&order);
+      const auto* set_up = std::get_if<violettide::SetUp>(&order);
+      return (rejected && rejected->playback == ended->playback) || (set_up && set_up->playback == ended->playback);
+    });
+    orders.push_back(violettide::SetUp{ended->playback, 2, 100ms});  // the box that answers nothing
+    return orders;
+  });
+  EXPECT_GT(played.broken(6), 0) << audit::table(played.verdict);
+}
+
+TEST(Trace, AFileCutOffIsReadAsFarAsItGoes) {
+  const auto path = (std::filesystem::temp_directory_path() / ("violettide-trace-" + std::to_string(::getpid()))).string();
+  {
+    trace::Writer writer(path);
+    for (int i = 0; i < 1000; ++i) {
+      trace::Passed record;
+      record.set_at_us(static_cast<std::uint64_t>(i));
+      record.set_sid("s" + std::to_string(i * 7919));
+      writer.put(record);
+      if (i == 500) writer.flush();
+    }
+  }
+  auto whole = trace::read(path);
+  EXPECT_EQ(whole.records.size(), 1000u);
+  EXPECT_FALSE(whole.cut_off);
+  std::filesystem::resize_file(path, std::filesystem::file_size(path) - 20);
+  auto cut = trace::read(path);
+  EXPECT_TRUE(cut.cut_off);
+  EXPECT_GE(cut.records.size(), 501u);
+  EXPECT_LT(cut.records.size(), 1000u);
+  std::ofstream(path) << "not a trace";
+  EXPECT_THROW(trace::read(path), trace::Failed);
+  std::filesystem::remove(path);
+  EXPECT_THROW(trace::read(path), trace::Failed);
+}
+
+}  // namespace
+}  // namespace violettide
--- /dev/null
+++ b/tests/program/runtime_test.cpp
@@ -0,0 +1,203 @@
+// The runtime on loopback sockets: free ports, events waited for, every loop bounded by its own core.
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "manager/manager.h"
+#include "runtime/runtime.h"
+
+namespace violettide::runtime {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Gives up after a while, so that a failure ends too.
+class Bounded : public Core {
+ public:
+  bool gave_up = false;
+  void handle(Span now, const Happening& what, std::vector<Act>& acts) final {
+    if (!began_) began_ = true, acts.push_back(WakeAt{limit});
+    if (now >= limit) {
+      gave_up = true;
+      acts.push_back(Leave{});
+      return;
+    }
+    happened(now, what, acts);
+  }
+  virtual void happened(Span now, const Happening& what, std::vector<Act>& acts) = 0;
+
+ private:
+  static constexpr Span limit = 20s;
+  bool began_ = false;
+};
+
+// One core that listens and dials itself: it sees both ends.
+class Echo : public Bounded {
+ public:
+  std::uint16_t port = 0;
+  std::string sent, back;
+  bool half_closed = false, refused = false, reset = false;
+  Link server = 0;
+  void happened(Span, const Happening& what, std::vector<Act>& acts) override {
+    std::visit(Visit{
+                   [&](const Woken&) {
+                     if (sent.empty()) {
+                       for (int i = 0; i < 400'000; ++i) sent += static_cast<char>('a' + i % 23);
+                       acts.push_back(Dial{1, "127.0.0.1", port});
+                     }
+                   },
+                   [&](const Accepted& a) { server = a.link; },
+                   [&](const Connected& c) {
+                     if (c.link == 1) acts.push_back(Send{1, sent});
+                   },
+                   [&](const Received& r) {
+                     if (r.link == server) {
+                       acts.push_back(Send{server, std::string(r.bytes)});
+                       echoed_ += r.bytes.size();
+                       if (echoed_ == sent.size()) acts.push_back(Hang{server, true});
+                     } else {
+                       back += r.bytes;
+                     }
+                   },
+                   [&](const HalfClosed& h) {
+                     if (h.link != 1) return;
+                     half_closed = true;
+                     acts.push_back(Hang{1, false});
+                     acts.push_back(Shut{0});
+                     acts.push_back(Dial{2, "127.0.0.1", port});
+                   },
+                   [&](const Ended& e) {
+                     if (e.link != 2) return;
+                     refused = e.how == Ending::refused;
+                     acts.push_back(Leave{});
+                   },
+                   [&](const auto&) {},
+               },
+               what);
+  }
+
+ private:
+  std::size_t echoed_ = 0;
+};
+
+TEST(Runtime, SendsAllThenClosesThenRefuses) {
+  Echo echo;
+  Loop loop(echo, {{"127.0.0.1", 0}}, {}, "");
+  echo.port = loop.port(0);
+  ASSERT_GT(echo.port, 0);
+  loop.run();
+  EXPECT_FALSE(echo.gave_up);
+  EXPECT_EQ(echo.back, echo.sent);
+  EXPECT_TRUE(echo.half_closed);
+  EXPECT_TRUE(echo.refused);
+}
+
+// A sender to a reader that holds: what is unsent stays until it resumes, and Flushed says when it left.
+class Holder : public Bounded {
+ public:
+  std::uint16_t port = 0;
+  std::size_t got = 0, got_while_held = 0;
+  bool flushed_early = false, flushed = false;
+  static constexpr std::size_t size = 32 * 1024 * 1024;
+  void happened(Span now, const Happening& what, std::vector<Act>& acts) override {
+    std::visit(Visit{
+                   [&](const Woken&) {
+                     if (!dialled_) dialled_ = true, acts.push_back(Dial{1, "127.0.0.1", port});
+                     else if (now >= resume_at_ && held_) held_ = false, acts.push_back(Resume{1});
+                   },
+                   [&](const Accepted& a) { acts.push_back(Send{a.link, std::string(size, 'x')}); },
+                   [&](const Connected&) {
+                     held_ = true;
+                     resume_at_ = now + 200ms;
+                     acts.push_back(Hold{1});
+                     acts.push_back(WakeAt{resume_at_});
+                   },
+                   [&](const Flushed& f) {
+                     if (f.link < first_accepted) return;
+                     flushed = true;
+                     flushed_early = held_;
+                   },
+                   [&](const Received& r) {
+                     if (held_) got_while_held += r.bytes.size();
+                     got += r.bytes.size();
+                     if (got == size) acts.push_back(Leave{});
+                   },
+                   [&](const auto&) {},
+               },
+               what);
+  }
+
+ private:
+  bool dialled_ = false, held_ = false;
+  Span resume_at_{0};
+};
+
+TEST(Runtime, AHeldReaderHoldsItsSender) {
+  Holder holder;
+  Loop loop(holder, {{"127.0.0.1", 0}}, {}, "");
+  holder.port = loop.port(0);
+  loop.run();
+  EXPECT_FALSE(holder.gave_up);
+  EXPECT_EQ(holder.got, Holder::size);
+  EXPECT_EQ(holder.got_while_held, 0u);
+  EXPECT_FALSE(holder.flushed_early);
+}
+
+TEST(Runtime, ADoorThatIsTakenSaysSo) {
+  Echo one, two;
+  Loop first(one, {{"127.0.0.1", 0}}, {}, "");
+  try {
+    Loop second(two, {{"127.0.0.1", first.port(0)}}, {}, "");
+    FAIL() << "two listen at one port";
+  } catch (const Failed& failed) {
+    EXPECT_NE(failed.what.find("listening at 127.0.0.1:"), std::string::npos) << failed.what;
+  }
+  EXPECT_THROW(Loop(two, {{"not an address", 1}}, {}, ""), Failed);
+}
+
+// The manager itself on sockets, with nothing behind it: it answers, and stops in order when asked.
+TEST(Runtime, AManagerWithoutBoxesRejectsAndStopsInOrder) {
+  class Viewer : public Bounded {
+   public:
+    std::unique_ptr<manager::Manager> front;
+    std::uint16_t port = 0;
+    std::string answer;
+    bool stopped = false;
+    void happened(Span now, const Happening& what, std::vector<Act>& acts) override {
+      // Links 1000 and up are the viewer's own.
+      if (const auto* connected = std::get_if<Connected>(&what); connected && connected->link == 1000) {
+        acts.push_back(Send{1000, "GET /a/t/r0/0 HTTP/1.1\r\nHost: x\r\n\r\n"});
+        return;
+      }
+      if (const auto* received = std::get_if<Received>(&what); received && received->link == 1000) {
+        answer += received->bytes;
+        if (answer.find("\r\n\r\n") != std::string::npos && !stopped) stopped = true, front->handle(now, StopAsked{}, acts);
+        return;
+      }
+      if (const auto* half = std::get_if<HalfClosed>(&what); half && half->link == 1000) return;
+      front->handle(now, what, acts);
+      if (!dialled_) dialled_ = true, acts.push_back(Dial{1000, "127.0.0.1", port});
+    }
+
+   private:
+    bool dialled_ = false;
+  };
+  manager::FrontTerms terms;
+  terms.plans = {{"a", 2s}};
+  terms.site.plans.resize(1);
+  terms.site.plans[0].startup_target = 500ms;
+  terms.site.rung_kb = {10};
+  terms.site.longest_come_back = 2s;
+  terms.halls = {"h"};
+  Viewer viewer;
+  viewer.front = std::make_unique<manager::Manager>(terms, 1, "", nullptr);
+  Loop loop(viewer, {{"127.0.0.1", 0}}, {}, "");
+  viewer.port = loop.port(0);
+  loop.run();
+  EXPECT_FALSE(viewer.gave_up);
+  EXPECT_TRUE(viewer.answer.starts_with("HTTP/1.1 503")) << viewer.answer;
+  EXPECT_NE(viewer.answer.find("Retry-After: 1"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace violettide::runtime
