--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -37,9 +37,13 @@
   Wheel<std::uint32_t> wheel;
   std::vector<Wheel<std::uint32_t>::Handle> handles(static_cast<std::size_t>(state.range(0)));
   std::vector<std::uint32_t> rung;
-  churn(state, [&](std::size_t i, std::int64_t ms) { handles[i] = wheel.arm(ms * 1ms, static_cast<std::uint32_t>(i)); },
-        [&](std::size_t i) { wheel.disarm(handles[i]); },
-        [&](std::int64_t ms) { rung.clear(), wheel.advance(ms * 1ms, rung); });
+  churn(
+      state,
+      [&](std::size_t i, std::int64_t ms) {
+        handles[i] = wheel.arm(ms * 1ms, static_cast<std::uint32_t>(i));
+      },
+      [&](std::size_t i) { wheel.disarm(handles[i]); },
+      [&](std::int64_t ms) { rung.clear(), wheel.advance(ms * 1ms, rung); });
 }
 BENCHMARK(timers_wheel)->Arg(1000)->Arg(100000);
 
@@ -53,11 +57,15 @@
   };
   std::priority_queue<Entry> heap;
   std::vector<std::uint64_t> generations(static_cast<std::size_t>(state.range(0)));
-  churn(state, [&](std::size_t i, std::int64_t ms) { heap.push({ms, i, ++generations[i]}); },
-        [&](std::size_t i) { ++generations[i]; },
-        [&](std::int64_t ms) {
-          while (!heap.empty() && heap.top().due <= ms) heap.pop();
-        });
+  churn(
+      state,
+      [&](std::size_t i, std::int64_t ms) {
+        heap.push({ms, i, ++generations[i]});
+      },
+      [&](std::size_t i) { ++generations[i]; },
+      [&](std::int64_t ms) {
+        while (!heap.empty() && heap.top().due <= ms) heap.pop();
+      });
 }
 BENCHMARK(timers_heap)->Arg(1000)->Arg(100000);
 
@@ -67,9 +75,14 @@
   std::vector<uv_timer_t> timers(static_cast<std::size_t>(state.range(0)));
   for (auto& timer : timers) uv_timer_init(&loop, &timer);
   std::int64_t now = 0;
-  churn(state, [&](std::size_t i, std::int64_t ms) { uv_timer_start(&timers[i], [](uv_timer_t*) {}, static_cast<std::uint64_t>(ms - now), 0); },
-        [&](std::size_t i) { uv_timer_stop(&timers[i]); },
-        [&](std::int64_t ms) { now = ms, uv_run(&loop, UV_RUN_NOWAIT); });
+  churn(
+      state,
+      [&](std::size_t i, std::int64_t ms) {
+        uv_timer_start(
+            &timers[i], [](uv_timer_t*) {}, static_cast<std::uint64_t>(ms - now), 0);
+      },
+      [&](std::size_t i) { uv_timer_stop(&timers[i]); },
+      [&](std::int64_t ms) { now = ms, uv_run(&loop, UV_RUN_NOWAIT); });
   for (auto& timer : timers) uv_close(reinterpret_cast<uv_handle_t*>(&timer), nullptr);
   uv_run(&loop, UV_RUN_DEFAULT);
   uv_loop_close(&loop);
@@ -77,7 +90,9 @@
 BENCHMARK(timers_uv)->Arg(1000)->Arg(100000);
 
 void read_hints(benchmark::State& state) {
-  const http::Fields fields{{"CMCD-Object", "br=3200,d=4004,ot=v,tb=6000"}, {"CMCD-Request", "bl=21300,mtp=48100"}, {"CMCD-Session", "cid=\"faec5fc2\",sf=d,sid=\"6e2fb550-c457\",st=v"}};
+  const http::Fields fields{{"CMCD-Object", "br=3200,d=4004,ot=v,tb=6000"},
+                            {"CMCD-Request", "bl=21300,mtp=48100"},
+                            {"CMCD-Session", "cid=\"faec5fc2\",sf=d,sid=\"6e2fb550-c457\",st=v"}};
   for (auto _ : state) benchmark::DoNotOptimize(hints::read_cmcd(fields, "/a/b/r1/1.m4s"));
 }
 BENCHMARK(read_hints);
@@ -97,13 +112,15 @@
   terms.most_tries = 3;
   Brain brain(terms, 1);
   ServerList list;
-  for (ServerId id = 0; id < 16; ++id) list.entries.push_back({id, Standing::ready, 0, static_cast<int>(id % 8), 0, std::nullopt, 1});
+  for (ServerId id = 0; id < 16; ++id)
+    list.entries.push_back({id, Standing::ready, 0, static_cast<int>(id % 8), 0, std::nullopt, 1});
   Span now{0};
   brain.handle(now, list);
   PlaybackId next = 0;
   const auto begin = [&] {
     const auto id = next++;
-    const auto orders = brain.handle(now, Request{id, 0, id % 100, now + 4s, std::nullopt, static_cast<int>(id % 8), 3, 1});
+    const auto orders =
+        brain.handle(now, Request{id, 0, id % 100, now + 4s, std::nullopt, static_cast<int>(id % 8), 3, 1});
     ServerId server = 0;
     for (const auto& order : orders) {
       if (const auto* set_up = std::get_if<SetUp>(&order)) server = set_up->server;
@@ -121,18 +138,24 @@
 BENCHMARK(module_request)->Arg(100)->Arg(10000);
 
 void path_table() {
-  std::printf("\n%-10s %12s %12s %12s %16s   (64 playbacks, 8 kB objects, loopback)\n", "way", "requests/s", "median us", "99th us", "front cpu us/req");
+  std::printf("\n%-10s %12s %12s %12s %16s   (64 playbacks, 8 kB objects, loopback)\n", "way", "requests/s",
+              "median us", "99th us", "front cpu us/req");
   // In turn, twice, so that a machine whose speed drifts favours none.
   for (int round = 0; round < 2; ++round) {
     double relay_cpu = 0;
-    for (const auto& [way, name] : {std::pair(Way::straight, "straight"), std::pair(Way::relay, "relay"), std::pair(Way::manager, "manager")}) {
+    for (const auto& [way, name] : {std::pair(Way::straight, "straight"), std::pair(Way::relay, "relay"),
+                                    std::pair(Way::manager, "manager")}) {
       const auto m = run_path(way, 64, 60'000, 8'000);
-      std::printf("%-10s %12.0f %12.0f %12.0f %16.2f\n", name, m.per_second, m.median_us, m.p99_us, m.front_cpu_us);
+      std::printf("%-10s %12.0f %12.0f %12.0f %16.2f\n", name, m.per_second, m.median_us, m.p99_us,
+                  m.front_cpu_us);
       if (way == Way::relay) relay_cpu = m.front_cpu_us;
-      if (way == Way::manager) std::printf("%-10s the manager's own work is %.2f of the relay's (aim: under 0.5)\n", "", m.front_cpu_us / relay_cpu - 1);
+      if (way == Way::manager)
+        std::printf("%-10s the manager's own work is %.2f of the relay's (aim: under 0.5)\n", "",
+                    m.front_cpu_us / relay_cpu - 1);
     }
   }
-  std::printf("\nheap a playback: %.0f bytes at 10,000 open playbacks, connections and module included\n", bytes_a_playback(10'000));
+  std::printf("\nheap a playback: %.0f bytes at 10,000 open playbacks, connections and module included\n",
+              bytes_a_playback(10'000));
 }
 
 }  // namespace
--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -50,14 +50,16 @@
   std::uint16_t port = 0;
   void happened(Span, const Happening& what, std::vector<Act>& acts) override {
     if (const auto* ended = std::get_if<Ended>(&what)) readers_.erase(ended->link);
-    if (const auto* half = std::get_if<HalfClosed>(&what)) acts.push_back(Hang{half->link, false}), readers_.erase(half->link);
+    if (const auto* half = std::get_if<HalfClosed>(&what))
+      acts.push_back(Hang{half->link, false}), readers_.erase(half->link);
     const auto* received = std::get_if<Received>(&what);
     if (!received) return;
     auto& reader = readers_[received->link];
     reader.push(received->bytes);
     while (auto request = reader.next()) {
       if (request->target == "/boxes") {
-        const auto list = R"({"revision":1,"clock_ms":1,"boxes":[{"name":"b","address":"127.0.0.1","port":)" + std::to_string(port) +
+        const auto list = R"({"revision":1,"clock_ms":1,"boxes":[{"name":"b","address":"127.0.0.1","port":)" +
+                          std::to_string(port) +
                           R"(,"state":"ready","kind":0,"cell":0,"hall":"h","weight":1}]})";
         acts.push_back(Send{received->link, http::head_text(200, {}, list.size(), false) + list});
         acts.push_back(Hang{received->link, true});
@@ -65,9 +67,14 @@
         return;
       }
       const bool probe = request->method == "HEAD";
-      acts.push_back(Send{received->link, http::head_text(200, {{"Content-Type", "video/mp4"}, {"CMSD-Static", "br=2400,d=1000,ot=v"},
-                                                                {"CMSD-Dynamic", "\"b\";org.violettide-streams=3;org.violettide-util=0.1"}},
-                                                          probe ? 0 : object_.size(), true) + (probe ? "" : object_)});
+      acts.push_back(
+          Send{received->link,
+               http::head_text(200,
+                               {{"Content-Type", "video/mp4"},
+                                {"CMSD-Static", "br=2400,d=1000,ot=v"},
+                                {"CMSD-Dynamic", "\"b\";org.violettide-streams=3;org.violettide-util=0.1"}},
+                               probe ? 0 : object_.size(), true) +
+                   (probe ? "" : object_)});
     }
   }
 
@@ -95,15 +102,19 @@
                      if (part.head) {
                        http::Fields fields;
                        for (auto& [name, value] : part.head->fields) {
-                         if (!http::same_name(name, "Content-Length") && !http::same_name(name, "Connection")) fields.emplace_back(name, value);
+                         if (!http::same_name(name, "Content-Length") && !http::same_name(name, "Connection"))
+                           fields.emplace_back(name, value);
                        }
                        fields.emplace_back("Via", "1.1 relay");
-                       acts.push_back(Send{link.viewer, http::head_text(part.head->status, fields, part.head->length, true)});
+                       acts.push_back(Send{
+                           link.viewer, http::head_text(part.head->status, fields, part.head->length, true)});
                      }
                      if (!part.body.empty()) acts.push_back(Send{link.viewer, std::move(part.body)});
                      if (part.done) idle_.push_back(r.link);
                    },
-                   [&](const HalfClosed& h) { acts.push_back(Hang{h.link, false}), viewers_.erase(h.link); },
+                   [&](const HalfClosed& h) {
+                     acts.push_back(Hang{h.link, false}), viewers_.erase(h.link);
+                   },
                    [&](const Ended& e) { viewers_.erase(e.link); },
                    [&](const auto&) {},
                },
@@ -134,8 +145,10 @@
       link.reader.expect(false);
       request->fields.emplace_back("Via", "1.1 relay");
       auto text = http::request_text("GET", request->target, request->fields);
-      if (link.connected) acts.push_back(Send{to, std::move(text)});
-      else link.waiting = std::move(text);
+      if (link.connected)
+        acts.push_back(Send{to, std::move(text)});
+      else
+        link.waiting = std::move(text);
     }
   }
   std::unordered_map<Link, http::RequestReader> viewers_;
@@ -147,7 +160,9 @@
 class Fronted : public Leaves {
  public:
   explicit Fronted(manager::FrontTerms terms) : manager_(std::move(terms), 1, "", nullptr) {}
-  void happened(Span now, const Happening& what, std::vector<Act>& acts) override { manager_.handle(now, what, acts); }
+  void happened(Span now, const Happening& what, std::vector<Act>& acts) override {
+    manager_.handle(now, what, acts);
+  }
 
  private:
   manager::Manager manager_;
@@ -156,12 +171,14 @@
 // Closed loop: each connection asks its next object when it has the last.
 class Load : public Core {
  public:
-  Load(std::uint16_t port, std::size_t connections, std::size_t requests) : port_(port), connections_(connections), left_(requests) {}
+  Load(std::uint16_t port, std::size_t connections, std::size_t requests)
+      : port_(port), connections_(connections), left_(requests) {}
   std::vector<double> times_us;
   std::size_t failed = 0;
   void handle(Span, const Happening& what, std::vector<Act>& acts) override {
     if (std::holds_alternative<Woken>(what) && links_.empty()) {
-      for (Link link = 1; link <= connections_; ++link) links_[link], acts.push_back(Dial{link, "127.0.0.1", port_});
+      for (Link link = 1; link <= connections_; ++link)
+        links_[link], acts.push_back(Dial{link, "127.0.0.1", port_});
       return;
     }
     if (const auto* connected = std::get_if<Connected>(&what)) return ask(connected->link, acts);
@@ -170,10 +187,12 @@
       const auto part = peer.reader.push(received->bytes);
       if (part.head && part.head->status != 200) ++failed;
       if (!part.done) return;
-      times_us.push_back(std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - peer.sent).count());
+      times_us.push_back(
+          std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - peer.sent).count());
       return ask(received->link, acts);
     }
-    if (std::holds_alternative<Ended>(what) || std::holds_alternative<HalfClosed>(what)) ++failed, acts.push_back(Leave{});
+    if (std::holds_alternative<Ended>(what) || std::holds_alternative<HalfClosed>(what))
+      ++failed, acts.push_back(Leave{});
   }
 
  private:
@@ -198,7 +217,10 @@
     for (auto& field : hints::cmcd_headers(said)) fields.push_back(std::move(field));
     peer.reader.expect(false);
     peer.sent = std::chrono::steady_clock::now();
-    acts.push_back(Send{link, http::request_text("GET", "/a/title-" + std::to_string(link % 50) + "/r0/" + std::to_string(peer.objects++), fields)});
+    acts.push_back(Send{
+        link, http::request_text(
+                  "GET", "/a/title-" + std::to_string(link % 50) + "/r0/" + std::to_string(peer.objects++),
+                  fields)});
   }
   std::uint16_t port_;
   std::size_t connections_, left_;
@@ -220,8 +242,8 @@
   terms.site.most_tries = 3;
   terms.site.note_lag = 1s;
   terms.copies = 1;
-  terms.links_per_box = playbacks + 8;
-  terms.idle_links_per_box = playbacks + 8;
+  terms.links_per_box = 2 * playbacks + 8;  // probes come beside the tries
+  terms.idle_links_per_box = 2 * playbacks + 8;
   terms.viewer_links = playbacks + 8;
   terms.silence = 60s;
   return terms;
@@ -244,7 +266,9 @@
     front = std::make_unique<Fronted>(std::move(terms));
   }
   std::unique_ptr<runtime::Loop> front_loop;
-  if (front) front_loop = std::make_unique<runtime::Loop>(*front, std::vector<runtime::Listening>{{"127.0.0.1", 0}}, nullptr, "");
+  if (front)
+    front_loop = std::make_unique<runtime::Loop>(*front, std::vector<runtime::Listening>{{"127.0.0.1", 0}},
+                                                 nullptr, "");
   double front_cpu = 0;
   std::thread box_thread([&] { box_loop.run(); });
   std::thread front_thread([&] {
@@ -253,7 +277,8 @@
     front_loop->run();
     front_cpu = thread_cpu_us() - before;
   });
-  if (way == Way::manager) std::this_thread::sleep_for(300ms);  // its list is in by then; a failed request would be counted
+  if (way == Way::manager)
+    std::this_thread::sleep_for(300ms);  // its list is in by then; a failed request would be counted
   Load load(front_loop ? front_loop->port(0) : box.port, connections, requests);
   runtime::Loop load_loop(load, {}, {}, "");
   const auto from = std::chrono::steady_clock::now();
@@ -277,7 +302,11 @@
 
 double bytes_a_playback(std::size_t playbacks) {
   auto terms = terms_for(playbacks);
-  manager::Manager front(terms, 1, "{\"revision\":1,\"clock_ms\":1,\"boxes\":[{\"name\":\"b\",\"address\":\"127.0.0.1\",\"port\":1,\"state\":\"ready\",\"kind\":0,\"cell\":0,\"hall\":\"h\",\"weight\":1}]}", nullptr);
+  manager::Manager front(
+      terms, 1,
+      "{\"revision\":1,\"clock_ms\":1,\"boxes\":[{\"name\":\"b\",\"address\":\"127.0.0.1\",\"port\":1,"
+      "\"state\":\"ready\",\"kind\":0,\"cell\":0,\"hall\":\"h\",\"weight\":1}]}",
+      nullptr);
   std::vector<Act> acts;
   Span now = 1ms;
   front.handle(now, Woken{}, acts);
@@ -287,7 +316,11 @@
     const auto viewer = first_accepted + static_cast<Link>(i);
     acts.clear();
     front.handle(now, Accepted{viewer, 0}, acts);
-    front.handle(now, Received{viewer, "GET /a/title-" + std::to_string(i) + "/r0/0 HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"session-" + std::to_string(i) + "\"\r\n\r\n"}, acts);
+    front.handle(now,
+                 Received{viewer, "GET /a/title-" + std::to_string(i) +
+                                      "/r0/0 HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"session-" +
+                                      std::to_string(i) + "\"\r\n\r\n"},
+                 acts);
     // Probes are answered and the try is answered, as by a box that is well.
     for (int round = 0; round < 6; ++round) {
       std::vector<Act> doing;
@@ -296,15 +329,19 @@
         if (const auto* dial = std::get_if<Dial>(&act)) front.handle(now, Connected{dial->link}, acts);
         const auto* send = std::get_if<Send>(&act);
         if (!send || send->link >= first_accepted) continue;
-        if (send->bytes.starts_with("HEAD")) front.handle(now, Received{send->link, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}, acts);
-        else front.handle(now, Received{send->link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"}, acts);
+        if (send->bytes.starts_with("HEAD"))
+          front.handle(now, Received{send->link, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}, acts);
+        else
+          front.handle(now, Received{send->link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"}, acts);
       }
     }
   }
   const auto after = mallinfo2();
   const auto held = front.held();
-  if (held.playbacks != playbacks) std::fprintf(stderr, "only %zu of %zu playbacks are held\n", held.playbacks, playbacks);
-  return static_cast<double>(after.uordblks + after.hblkhd - used_before) / static_cast<double>(std::max<std::size_t>(1, held.playbacks));
+  if (held.playbacks != playbacks)
+    std::fprintf(stderr, "only %zu of %zu playbacks are held\n", held.playbacks, playbacks);
+  return static_cast<double>(after.uordblks + after.hblkhd - used_before) /
+         static_cast<double>(std::max<std::size_t>(1, held.playbacks));
 }
 
 }  // namespace violettide::bench
--- a/src/hints/cmcd.cpp
+++ b/src/hints/cmcd.cpp
@@ -182,47 +182,69 @@
   return 3;
 }
 
-// Keys in alphabetical order; what is at its default is left out.
-std::vector<std::pair<std::string, std::string>> entries_of(const Cmcd& hints) {
-  std::vector<std::pair<std::string, std::string>> entries;
-  const auto bare = [&](std::string key, const Bare& value) {
-    if (const auto* flag = std::get_if<bool>(&value); flag && *flag)
-      return entries.emplace_back(key, key), void();
-    if (const auto text = written(Item{value, {}})) entries.emplace_back(key, key + "=" + *text);
+std::string quoted(std::string_view text) {
+  std::string made = "\"";
+  for (const char c : text) {
+    if (c == '"' || c == '\\') made += '\\';
+    made += c;
+  }
+  return made += '"';
+}
+
+// Hands over each key with its text, in alphabetical order, custom keys last; what is at its default is left
+// out. Written without a field's tree: this is done for every object that passes.
+template <typename Put>
+void each_entry(const Cmcd& hints, Put put) {
+  const auto count = [&](std::string_view key, const std::optional<std::int64_t>& value) {
+    if (!value) return;
+    char digits[24];
+    const auto end = std::to_chars(digits, digits + sizeof digits, *value).ptr;
+    put(key, std::string_view(digits, static_cast<std::size_t>(end - digits)));
   };
-  const auto count = [&](const char* key, const std::optional<std::int64_t>& value) {
-    if (value) bare(key, *value);
+  const auto text = [&](std::string_view key, const std::optional<std::string>& value) {
+    if (value) put(key, quoted(*value));
   };
-  const auto string = [&](const char* key, const std::optional<std::string>& value) {
-    if (value) bare(key, *value);
+  const auto flag = [&](std::string_view key, bool value) {
+    if (value) put(key, std::string_view());
+  };
+  const auto word = [&](std::string_view key, std::string_view letter) {
+    if (!letter.empty()) put(key, letter);
   };
   count("bl", hints.buffer_length);
   count("br", hints.encoded_bitrate);
-  if (hints.buffer_starved) bare("bs", true);
-  string("cid", hints.content_id);
+  flag("bs", hints.buffer_starved);
+  text("cid", hints.content_id);
   count("d", hints.object_duration);
   count("dl", hints.deadline);
   count("mtp", hints.measured_throughput);
-  if (hints.next_object) bare("nor", http::percent_encoded(*hints.next_object));
-  string("nrr", hints.next_range);
-  if (hints.object_type) bare("ot", Token{std::string(letter_of(object_types, *hints.object_type))});
+  if (hints.next_object) put("nor", quoted(http::percent_encoded(*hints.next_object)));
+  text("nrr", hints.next_range);
+  if (hints.object_type) word("ot", letter_of(object_types, *hints.object_type));
   if (hints.playback_rate != 1) {
     const double whole = std::nearbyint(hints.playback_rate);
-    if (whole == hints.playback_rate)
-      bare("pr", static_cast<std::int64_t>(whole));
-    else
-      bare("pr", hints.playback_rate);
+    const Bare rate =
+        whole == hints.playback_rate ? Bare(static_cast<std::int64_t>(whole)) : Bare(hints.playback_rate);
+    if (const auto said = written(Item{rate, {}})) put("pr", *said);
   }
   count("rtp", hints.requested_maximum);
-  if (hints.format) bare("sf", Token{std::string(letter_of(formats, *hints.format))});
-  string("sid", hints.session_id);
-  if (hints.stream_type) bare("st", Token{std::string(letter_of(stream_types, *hints.stream_type))});
-  if (hints.startup) bare("su", true);
+  if (hints.format) word("sf", letter_of(formats, *hints.format));
+  text("sid", hints.session_id);
+  if (hints.stream_type) word("st", letter_of(stream_types, *hints.stream_type));
+  flag("su", hints.startup);
   count("tb", hints.top_bitrate);
-  if (hints.version != 1) bare("v", hints.version);
-  for (const auto& [key, value] : hints.custom) bare(key, value);
-  std::stable_sort(entries.begin(), entries.end(), [](auto& a, auto& b) { return a.first < b.first; });
-  return entries;
+  for (const auto& [key, value] : hints.custom) {
+    const auto* yes = std::get_if<bool>(&value);
+    if (yes && *yes)
+      put(key, std::string_view());
+    else if (const auto said = written(Item{value, {}}))
+      put(key, *said);
+  }
+}
+
+void append(std::string& to, std::string_view key, std::string_view text) {
+  if (!to.empty()) to += ',';
+  to.append(key);
+  if (!text.empty()) to.append("=").append(text);
 }
 
 }  // namespace
@@ -278,21 +300,19 @@
 
 http::Fields cmcd_headers(const Cmcd& hints) {
   std::array<std::string, header_names.size()> texts;
-  for (const auto& [key, entry] : entries_of(hints)) {
-    auto& text = texts[header_of(key)];
-    text += (text.empty() ? "" : ",") + entry;
-  }
+  each_entry(hints,
+             [&](std::string_view key, std::string_view text) { append(texts[header_of(key)], key, text); });
   http::Fields fields;
   for (std::size_t i = 0; i < texts.size(); ++i) {
-    if (!texts[i].empty()) fields.emplace_back(header_names[i], texts[i]);
+    if (!texts[i].empty()) fields.emplace_back(header_names[i], std::move(texts[i]));
   }
   return fields;
 }
 
 std::string cmcd_query(const Cmcd& hints) {
-  std::string text;
-  for (const auto& [key, entry] : entries_of(hints)) text += (text.empty() ? "" : ",") + entry;
-  return http::percent_encoded(text);
+  std::string all;
+  each_entry(hints, [&](std::string_view key, std::string_view text) { append(all, key, text); });
+  return http::percent_encoded(all);
 }
 
 }  // namespace violettide::hints
--- a/src/hints/cmsd.cpp
+++ b/src/hints/cmsd.cpp
@@ -118,6 +118,7 @@
   if (!dynamic.empty()) {
     const auto parsed = parse_list(dynamic);
     if (const auto* fault = std::get_if<FieldFault>(&parsed)) {
+      read.dynamic_whole = false;
       read.faults.push_back("CMSD-Dynamic, byte " + std::to_string(fault->at) + ": " + fault->cause);
     } else {
       for (const auto& member : std::get<List>(parsed)) {
@@ -144,10 +145,9 @@
 
 std::string cmsd_entry(const CmsdDynamic& hop) { return written(item_of(hop)).value_or(""); }
 
-std::string with_entry(std::string_view came, const CmsdDynamic& own) {
+std::string after_entries(std::string_view came, const CmsdDynamic& own) {
   const auto entry = cmsd_entry(own);
-  if (came.empty() || std::holds_alternative<FieldFault>(parse_list(came))) return entry;
-  return std::string(came) + ", " + entry;
+  return came.empty() ? entry : std::string(came) + ", " + entry;
 }
 
 }  // namespace violettide::hints
--- a/src/hints/cmsd.h
+++ b/src/hints/cmsd.h
@@ -45,12 +45,13 @@
   std::optional<CmsdStatic> fixed;
   std::vector<CmsdDynamic> hops;    // the origin's first
   std::vector<std::string> faults;  // what was left out and why
+  bool dynamic_whole = true;        // CMSD-Dynamic is a list, whatever its entries say
 };
 
 ReadCmsd read_cmsd(std::string_view fixed, std::string_view dynamic);
 std::string cmsd_static(const CmsdStatic& fixed);
 std::string cmsd_entry(const CmsdDynamic& hop);
-// The entry after those that came; what came malformed is passed over rather than passed on.
-std::string with_entry(std::string_view came, const CmsdDynamic& own);
+// The entry after those that came, which read_cmsd has found to be a list; what is none is not passed on.
+std::string after_entries(std::string_view came, const CmsdDynamic& own);
 
 }  // namespace violettide::hints
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -93,6 +93,7 @@
   double object_rate = 0;  // bytes a second that deliver it in its own duration
   std::uint64_t bytes = 0, measured_bytes = 0;
   std::string body;  // of a list
+  std::string cmsd;  // CMSD-Dynamic as the box said it, empty where malformed
 };
 
 struct Manager::Playback {
@@ -484,7 +485,7 @@
     if (const auto found = playbacks_.find(*viewer.playback); found != playbacks_.end())
       own.max_suggested_bitrate = std::llround(rate_kb(*found->second, found->second->rung) * kbit_per_kb);
   }
-  fields.emplace_back("CMSD-Dynamic", hints::with_entry(http::joined(head.fields, "CMSD-Dynamic"), own));
+  fields.emplace_back("CMSD-Dynamic", hints::after_entries(box.cmsd, own));
   viewer.chunked = !head.length && viewer.request.version >= 11;
   if (!head.length && !viewer.chunked) viewer.close_after = true;
   viewer.head_sent = true;
@@ -793,8 +794,9 @@
 }
 
 void Manager::hear_box(BoxLink& link, const http::ResponseHead& head, double rate) {
-  const auto said =
-      hints::read_cmsd(http::joined(head.fields, "CMSD-Static"), http::joined(head.fields, "CMSD-Dynamic"));
+  link.cmsd = http::joined(head.fields, "CMSD-Dynamic");
+  const auto said = hints::read_cmsd(http::joined(head.fields, "CMSD-Static"), link.cmsd);
+  if (!said.dynamic_whole) link.cmsd.clear();
   if (!said.faults.empty())
     say("box_hints_left_out", {{"box", list_.box(link.server).name}, {"cause", said.faults.front()}});
   double length = seconds(terms_.object_length);
--- a/tests/program/audit_test.cpp
+++ b/tests/program/audit_test.cpp
@@ -1,11 +1,12 @@
 // Whole days of the very manager, boxes, list and viewers on the network in memory: with the module all
 // rules are kept; with a break planted for each rule the auditor says so from the traces alone.
+#include "audit/audit.h"
+
 #include <gtest/gtest.h>
 
 #include <filesystem>
 #include <fstream>
 
-#include "audit/audit.h"
 #include "manager/manager.h"
 #include "net.h"
 #include "standins/fleet.h"
@@ -33,12 +34,14 @@
 )";
 
 standins::Day day_of(const std::string& own) {
-  const std::map<std::string, std::string> texts{{"f.star", settings_text}, {"d.star", "load(\"f.star\")\n" + own}};
+  const std::map<std::string, std::string> texts{{"f.star", settings_text},
+                                                 {"d.star", "load(\"f.star\")\n" + own}};
   const auto read = standins::read_day("d.star", [&](const std::string& path) -> std::optional<std::string> {
     const auto found = texts.find(path);
     return found == texts.end() ? std::nullopt : std::optional(found->second);
   });
-  if (const auto* mistakes = std::get_if<settings::Mistakes>(&read)) throw std::runtime_error(mistakes->front().text());
+  if (const auto* mistakes = std::get_if<settings::Mistakes>(&read))
+    throw std::runtime_error(mistakes->front().text());
   return std::get<standins::Day>(read);
 }
 
@@ -46,7 +49,8 @@
 class Bent : public manager::Decider {
  public:
   using Bend = std::function<std::vector<Order>(Span, const Event&, std::vector<Order>)>;
-  Bent(const SiteTerms& terms, std::uint64_t seed, Bend bend) : module_(manager::module_decider(terms, seed)), bend_(std::move(bend)) {}
+  Bent(const SiteTerms& terms, std::uint64_t seed, Bend bend)
+      : module_(manager::module_decider(terms, seed)), bend_(std::move(bend)) {}
   std::vector<Order> decide(Span now, const Event& event) override {
     auto orders = module_->decide(now, event);
     return bend_ ? bend_(now, event, std::move(orders)) : orders;
@@ -60,7 +64,8 @@
 // A manager whose bytes are tampered with on their way out.
 class Tampered : public Core {
  public:
-  Tampered(Core& inner, std::function<void(std::vector<Act>&)> tamper) : inner_(inner), tamper_(std::move(tamper)) {}
+  Tampered(Core& inner, std::function<void(std::vector<Act>&)> tamper)
+      : inner_(inner), tamper_(std::move(tamper)) {}
   void handle(Span now, const Happening& what, std::vector<Act>& acts) override {
     std::vector<Act> made;
     inner_.handle(now, what, made);
@@ -78,12 +83,15 @@
   std::vector<trace::Passed> records;
   std::size_t held = 0;
   int broken(int rule) const {
-    return static_cast<int>(std::count_if(verdict.broken.begin(), verdict.broken.end(), [&](auto& b) { return b.rule == rule; }));
+    return static_cast<int>(
+        std::count_if(verdict.broken.begin(), verdict.broken.end(), [&](auto& b) { return b.rule == rule; }));
   }
 };
 
-PlayedDay play(const standins::Day& day, Bent::Bend bend = {}, std::function<void(std::vector<Act>&)> tamper = {},
-               std::function<void(Net&, std::vector<int>&, const std::function<void(int)>&, std::vector<trace::Passed>&)> deeds = {}) {
+PlayedDay play(
+    const standins::Day& day, Bent::Bend bend = {}, std::function<void(std::vector<Act>&)> tamper = {},
+    std::function<void(Net&, std::vector<int>&, const std::function<void(int)>&, std::vector<trace::Passed>&)>
+        deeds = {}) {
   Net net;
   PlayedDay played;
   const auto sink = [&](const trace::Passed& record) { played.records.push_back(record); };
@@ -100,8 +108,9 @@
     auto front = day.deployment.front;
     front.name = "m" + std::to_string(i);
     front.list_port = Net::port(0, boxes);
-    managers.push_back(std::make_unique<manager::Manager>(front, 7 + static_cast<std::uint64_t>(i), std::move(cached),
-                                                          std::make_unique<Bent>(front.site, 7 + static_cast<std::uint64_t>(i), bend)));
+    managers.push_back(std::make_unique<manager::Manager>(
+        front, 7 + static_cast<std::uint64_t>(i), std::move(cached),
+        std::make_unique<Bent>(front.site, 7 + static_cast<std::uint64_t>(i), bend)));
     outer.emplace_back(*managers.back(), tamper);
     trace::Passed started;
     started.set_at_us(static_cast<std::uint64_t>(net.now().count()));
@@ -117,7 +126,9 @@
   net.run(500ms);
   standins::Viewers viewers(day, doors, Span(0), 0, sink);
   const int audience = net.add(viewers, 0);
-  const std::function<void(int)> restart = [&](int i) { net.replace(hosts[i], make(i, net.stored(hosts[i], "boxes.json").value_or(""))); };
+  const std::function<void(int)> restart = [&](int i) {
+    net.replace(hosts[i], make(i, net.stored(hosts[i], "boxes.json").value_or("")));
+  };
   if (deeds) deeds(net, hosts, restart, played.records);
   for (int second = 1; second < 200 && !net.left(audience); ++second) net.run(day.length + second * 1s);
   EXPECT_TRUE(net.left(audience)) << "the viewers did not end";
@@ -129,8 +140,9 @@
   return played;
 }
 
-const std::string calm = "day(length = s(20), seed = 3, managers = 2)\nboxes(count = 6, list_lag = ms(500))\n"
-                         "viewers(per_second = 5, least_watch = s(2), most_watch = s(8), titles = 6, plan_shares = [2, 2, 2])\n";
+const std::string calm =
+    "day(length = s(20), seed = 3, managers = 2)\nboxes(count = 6, list_lag = ms(500))\n"
+    "viewers(per_second = 5, least_watch = s(2), most_watch = s(8), titles = 6, plan_shares = [2, 2, 2])\n";
 const std::string troubled = calm +
                              "trouble(kind = \"crash\", at = s(3), lasts = s(3), boxes = [0, 1])\n"
                              "trouble(kind = \"hang\", at = s(4), lasts = s(4), boxes = [2])\n"
@@ -149,12 +161,13 @@
 
 TEST(Days, TheModuleKeepsAllRulesThroughTroubles) {
   for (const auto* seed : {"seed = 3", "seed = 4", "seed = 5", "seed = 6", "seed = 7", "seed = 8"}) {
-    auto text = troubled + "trouble(kind = \"vanish\", at = s(10), lasts = s(4), boxes = [0])\n"
-                           "trouble(kind = \"list_late\", at = s(5), lasts = s(10), size = 2)\n"
-                           "trouble(kind = \"crowd\", at = s(9), lasts = s(4), size = 8)\n"
-                           "trouble(kind = \"ageing\", at = s(11), lasts = s(6), boxes = [1], size = 5)\n"
-                           "trouble(kind = \"neighbour\", at = s(2), lasts = s(15), boxes = [2, 3], size = 0.6)\n"
-                           "trouble(kind = \"list_down\", at = s(16), lasts = s(2))\n";
+    auto text = troubled +
+                "trouble(kind = \"vanish\", at = s(10), lasts = s(4), boxes = [0])\n"
+                "trouble(kind = \"list_late\", at = s(5), lasts = s(10), size = 2)\n"
+                "trouble(kind = \"crowd\", at = s(9), lasts = s(4), size = 8)\n"
+                "trouble(kind = \"ageing\", at = s(11), lasts = s(6), boxes = [1], size = 5)\n"
+                "trouble(kind = \"neighbour\", at = s(2), lasts = s(15), boxes = [2, 3], size = 0.6)\n"
+                "trouble(kind = \"list_down\", at = s(16), lasts = s(2))\n";
     text.replace(text.find("seed = 3"), 8, seed);
     const auto played = play(day_of(text));
     EXPECT_TRUE(played.verdict.kept()) << seed << "\n" << audit::table(played.verdict);
@@ -163,36 +176,39 @@
 }
 
 TEST(Days, RulesHoldAcrossRestartsAndStandingStill) {
-  const auto played = play(day_of(troubled), {}, {}, [](Net& net, std::vector<int>& hosts, const std::function<void(int)>& restart, std::vector<trace::Passed>& records) {
-    const auto fact = [&](trace::Passed::Kind kind, int manager, double value) {
-      trace::Passed record;
-      record.set_at_us(static_cast<std::uint64_t>(net.now().count()));
-      record.set_kind(kind);
-      record.set_manager("m" + std::to_string(manager));
-      record.set_value(value);
-      records.push_back(record);
-    };
-    for (int round = 0; round < 4; ++round) {
-      net.run((4 + 4 * round) * 1s);
-      const int i = round % 2;
-      if (round < 2) {
-        fact(trace::Passed::KILLED, i, 0);
-        net.kill(hosts[i]);
-        net.run(net.now() + 700ms);
-        restart(i);
-      } else {
-        fact(trace::Passed::STOOD_STILL, i, 2.2);
-        net.stand_still(hosts[i], net.now() + 2s);
-      }
-    }
-  });
+  const auto played = play(day_of(troubled), {}, {},
+                           [](Net& net, std::vector<int>& hosts, const std::function<void(int)>& restart,
+                              std::vector<trace::Passed>& records) {
+                             const auto fact = [&](trace::Passed::Kind kind, int manager, double value) {
+                               trace::Passed record;
+                               record.set_at_us(static_cast<std::uint64_t>(net.now().count()));
+                               record.set_kind(kind);
+                               record.set_manager("m" + std::to_string(manager));
+                               record.set_value(value);
+                               records.push_back(record);
+                             };
+                             for (int round = 0; round < 4; ++round) {
+                               net.run((4 + 4 * round) * 1s);
+                               const int i = round % 2;
+                               if (round < 2) {
+                                 fact(trace::Passed::KILLED, i, 0);
+                                 net.kill(hosts[i]);
+                                 net.run(net.now() + 700ms);
+                                 restart(i);
+                               } else {
+                                 fact(trace::Passed::STOOD_STILL, i, 2.2);
+                                 net.stand_still(hosts[i], net.now() + 2s);
+                               }
+                             }
+                           });
   EXPECT_TRUE(played.verdict.kept()) << audit::table(played.verdict);
 }
 
 TEST(Days, TheSameDayPlaysTheSameWay) {
   const auto one = play(day_of(troubled)), two = play(day_of(troubled));
   ASSERT_EQ(one.records.size(), two.records.size());
-  for (std::size_t i = 0; i < one.records.size(); ++i) ASSERT_EQ(one.records[i].SerializeAsString(), two.records[i].SerializeAsString()) << i;
+  for (std::size_t i = 0; i < one.records.size(); ++i)
+    ASSERT_EQ(one.records[i].SerializeAsString(), two.records[i].SerializeAsString()) << i;
 }
 
 TEST(Hints, MissingOrMalformedOnesCostNoOutcomeAndNoFloor) {
@@ -206,8 +222,10 @@
 }
 
 TEST(Hints, AUtilThatContradictsDeliveriesWinsNoMoreViewers) {
-  // Two boxes lose most of their links to another program; they say that they are nearly idle, or say the truth.
-  const std::string squeezed = calm + "trouble(kind = \"neighbour\", at = s(0), lasts = s(20), boxes = [0, 1], size = 0.9)\n";
+  // Two boxes lose most of their links to another program; they say that they are nearly idle, or say the
+  // truth.
+  const std::string squeezed =
+      calm + "trouble(kind = \"neighbour\", at = s(0), lasts = s(20), boxes = [0, 1], size = 0.9)\n";
   const auto share_there = [](const PlayedDay& played) {
     double there = 0, all = 0;
     for (const auto& record : played.records) {
@@ -217,7 +235,8 @@
     }
     return there / all;
   };
-  const auto lying = play(day_of(squeezed + "trouble(kind = \"false_cmsd\", at = s(0), lasts = s(20), boxes = [0, 1], size = 0.05)\n"));
+  const auto lying = play(day_of(
+      squeezed + "trouble(kind = \"false_cmsd\", at = s(0), lasts = s(20), boxes = [0, 1], size = 0.05)\n"));
   EXPECT_TRUE(lying.verdict.kept()) << audit::table(lying.verdict);
   EXPECT_LT(share_there(lying), 1.0 / 3) << "a third of the boxes, and the worst";
 }
@@ -229,7 +248,8 @@
   const auto played = play(day_of(calm), {}, [&](std::vector<Act>& acts) {
     std::erase_if(acts, [&](const Act& act) {
       const auto* send = std::get_if<Send>(&act);
-      return send && send->link >= first_accepted && send->bytes.starts_with("HTTP/1.1 200") && ++seen % 40 == 0;
+      return send && send->link >= first_accepted && send->bytes.starts_with("HTTP/1.1 200") &&
+             ++seen % 40 == 0;
     });
   });
   EXPECT_GT(played.broken(1), 0) << audit::table(played.verdict);
@@ -243,8 +263,10 @@
       doubled.push_back(act);
       const auto* send = std::get_if<Send>(&act);
       if (!send || send->link < first_accepted) continue;
-      if (send->bytes.starts_with("HTTP/1.1 200")) ++heads[send->link];
-      else if (heads[send->link] == 1 && send->link % 5 == 0) doubled.push_back(act);
+      if (send->bytes.starts_with("HTTP/1.1 200"))
+        ++heads[send->link];
+      else if (heads[send->link] == 1 && send->link % 5 == 0)
+        doubled.push_back(act);
     }
     acts = std::move(doubled);
   });
@@ -258,7 +280,8 @@
     for (auto& order : orders) {
       const auto* ended = std::get_if<TryEnded>(&event);
       const auto* aborted = std::get_if<Abort>(&order);
-      if (ended && aborted && plan_of[aborted->playback] == 2) order = violettide::SetUp{aborted->playback, (ended->server + 1) % 6, 300ms};
+      if (ended && aborted && plan_of[aborted->playback] == 2)
+        order = violettide::SetUp{aborted->playback, (ended->server + 1) % 6, 300ms};
     }
     return orders;
   });
@@ -290,7 +313,8 @@
       }
     }
     for (auto& order : orders) {
-      if (auto* set_up = std::get_if<violettide::SetUp>(&order); set_up && !draining.empty()) set_up->server = *draining.begin();
+      if (auto* set_up = std::get_if<violettide::SetUp>(&order); set_up && !draining.empty())
+        set_up->server = *draining.begin();
     }
     return orders;
   });
@@ -299,17 +323,21 @@
 
 TEST(Planted, AColdBoxPushedOverIsRule4) {
   std::optional<ServerId> started;
-  const auto played = play(day_of(calm + "trouble(kind = \"crash\", at = s(4), lasts = s(2), boxes = [0])\n"), [&](Span now, const Event& event, std::vector<Order> orders) {
-    if (const auto* list = std::get_if<ServerList>(&event)) {
-      for (const auto& entry : list->entries) {
-        if (entry.started && *entry.started > 0s && now - *entry.started < 9s && entry.standing == Standing::ready) started = entry.server;
-      }
-    }
-    for (auto& order : orders) {
-      if (auto* set_up = std::get_if<violettide::SetUp>(&order); set_up && started) set_up->server = *started;
-    }
-    return orders;
-  });
+  const auto played = play(day_of(calm + "trouble(kind = \"crash\", at = s(4), lasts = s(2), boxes = [0])\n"),
+                           [&](Span now, const Event& event, std::vector<Order> orders) {
+                             if (const auto* list = std::get_if<ServerList>(&event)) {
+                               for (const auto& entry : list->entries) {
+                                 if (entry.started && *entry.started > 0s && now - *entry.started < 9s &&
+                                     entry.standing == Standing::ready)
+                                   started = entry.server;
+                               }
+                             }
+                             for (auto& order : orders) {
+                               if (auto* set_up = std::get_if<violettide::SetUp>(&order); set_up && started)
+                                 set_up->server = *started;
+                             }
+                             return orders;
+                           });
   EXPECT_GT(played.broken(4), 0) << audit::table(played.verdict);
 }
 
@@ -328,15 +356,17 @@
 
 TEST(Planted, MorePlaybacksThanSeatsIsRule5) {
   std::map<PlaybackId, Request> asked;
-  const auto played = play(day_of(calm + "trouble(kind = \"crowd\", at = s(2), lasts = s(10), size = 8)\n"), [&](Span, const Event& event, std::vector<Order> orders) {
-    if (const auto* request = std::get_if<Request>(&event)) {
-      asked[request->playback] = *request;
-      for (auto& order : orders) {
-        if (std::holds_alternative<Reject>(order) && request->plan == 1) order = violettide::SetUp{request->playback, 3, 2s};
-      }
-    }
-    return orders;
-  });
+  const auto played = play(day_of(calm + "trouble(kind = \"crowd\", at = s(2), lasts = s(10), size = 8)\n"),
+                           [&](Span, const Event& event, std::vector<Order> orders) {
+                             if (const auto* request = std::get_if<Request>(&event)) {
+                               asked[request->playback] = *request;
+                               for (auto& order : orders) {
+                                 if (std::holds_alternative<Reject>(order) && request->plan == 1)
+                                   order = violettide::SetUp{request->playback, 3, 2s};
+                               }
+                             }
+                             return orders;
+                           });
   EXPECT_GT(played.broken(5), 0) << audit::table(played.verdict);
 }
 
@@ -348,7 +378,8 @@
     std::erase_if(orders, [&](const Order& order) {
       const auto* rejected = std::get_if<Reject>(&order);
       const auto* set_up = std::get_if<violettide::SetUp>(&order);
-      return (rejected && rejected->playback == ended->playback) || (set_up && set_up->playback == ended->playback);
+      return (rejected && rejected->playback == ended->playback) ||
+             (set_up && set_up->playback == ended->playback);
     });
     orders.push_back(violettide::SetUp{ended->playback, 2, 100ms});  // the box that answers nothing
     return orders;
@@ -357,7 +388,8 @@
 }
 
 TEST(Trace, AFileCutOffIsReadAsFarAsItGoes) {
-  const auto path = (std::filesystem::temp_directory_path() / ("violettide-trace-" + std::to_string(::getpid()))).string();
+  const auto path =
+      (std::filesystem::temp_directory_path() / ("violettide-trace-" + std::to_string(::getpid()))).string();
   {
     trace::Writer writer(path);
     for (int i = 0; i < 1000; ++i) {
--- a/tests/program/cores_test.cpp
+++ b/tests/program/cores_test.cpp
@@ -16,9 +16,12 @@
   for (std::size_t i = 0; i < boxes.size(); ++i) text += (i ? "," : "") + boxes[i];
   return text + "]}";
 }
-std::string box_text(const std::string& name, const std::string& state = "ready", int port = 80, int started = 90000) {
-  return "{\"name\":\"" + name + "\",\"address\":\"127.0.0.1\",\"port\":" + std::to_string(port) + ",\"state\":\"" + state +
-         "\",\"kind\":0,\"cell\":1,\"hall\":\"h\",\"weight\":1,\"started_ms\":" + std::to_string(started) + "}";
+std::string box_text(const std::string& name, const std::string& state = "ready", int port = 80,
+                     int started = 90000) {
+  return "{\"name\":\"" + name + "\",\"address\":\"127.0.0.1\",\"port\":" + std::to_string(port) +
+         ",\"state\":\"" + state +
+         "\",\"kind\":0,\"cell\":1,\"hall\":\"h\",\"weight\":1,\"started_ms\":" + std::to_string(started) +
+         "}";
 }
 
 TEST(BoxList, AStartIsMappedOnceAndKept) {
@@ -109,7 +112,8 @@
 
 TEST(Weighing, AUtilThatDeliveriesContradictIsBelievedLess) {
   Weighing weighing(1s, {100});
-  EXPECT_DOUBLE_EQ(*weighing.handle(0s, BoxSaid{1, util(0.1), 100}).report->link_fill, 0.1) << "nothing speaks against it yet";
+  EXPECT_DOUBLE_EQ(*weighing.handle(0s, BoxSaid{1, util(0.1), 100}).report->link_fill, 0.1)
+      << "nothing speaks against it yet";
   for (int i = 1; i <= 6; ++i) {
     weighing.handle(i * 300ms, Delivered{static_cast<PlaybackId>(i), 1, 0.5, false});
     weighing.handle(i * 300ms, BoxSaid{1, util(0.1), 100});
@@ -138,7 +142,8 @@
   std::vector<double> notes;
   for (int i = 0; i < 80; ++i) {
     const double share = i < 30 ? 0.6 : 1.0;
-    for (const auto& note : weighing.handle(i * 100ms, Delivered{4, 2, share, false}).notes) notes.push_back(note.value);
+    for (const auto& note : weighing.handle(i * 100ms, Delivered{4, 2, share, false}).notes)
+      notes.push_back(note.value);
   }
   ASSERT_GE(notes.size(), 4u);
   EXPECT_LE(notes.size(), 8u);
@@ -149,7 +154,8 @@
 
 TEST(Weighing, AViewerThatReadsSlowlySaysNothingOfItsBox) {
   Weighing weighing(1s, {100});
-  for (int i = 0; i < 20; ++i) EXPECT_TRUE(weighing.handle(i * 100ms, Delivered{4, 2, 0.1, true}).notes.empty());
+  for (int i = 0; i < 20; ++i)
+    EXPECT_TRUE(weighing.handle(i * 100ms, Delivered{4, 2, 0.1, true}).notes.empty());
 }
 
 TEST(Weighing, OneStarvingViewerIsItsOwnLineTwoAreTheBox) {
@@ -207,10 +213,15 @@
       now += std::chrono::milliseconds(draw(200));
       const ServerId server = draw(4);
       hints::Weighed out;
-      if (draw(3) == 0) out = weighing.handle(now, Delivered{draw(9), server, static_cast<double>(draw(120)) / 100, draw(5) == 0});
-      else if (draw(3) == 0) out = weighing.handle(now, ViewerSaid{draw(9), server, draw(2) ? starved() : hints::Cmcd{}, 10});
-      else if (draw(3) == 0) out = weighing.handle(now, hints::PlaybackLeft{draw(9)});
-      else if (draw(3) == 0) out = weighing.handle(now, hints::TimePassed{});
+      if (draw(3) == 0)
+        out = weighing.handle(now,
+                              Delivered{draw(9), server, static_cast<double>(draw(120)) / 100, draw(5) == 0});
+      else if (draw(3) == 0)
+        out = weighing.handle(now, ViewerSaid{draw(9), server, draw(2) ? starved() : hints::Cmcd{}, 10});
+      else if (draw(3) == 0)
+        out = weighing.handle(now, hints::PlaybackLeft{draw(9)});
+      else if (draw(3) == 0)
+        out = weighing.handle(now, hints::TimePassed{});
       else {
         auto hop = util(static_cast<double>(draw(4000)) / 1000);
         if (draw(2)) hop.share = static_cast<double>(draw(1500)) / 1000;
--- a/tests/program/hints_test.cpp
+++ b/tests/program/hints_test.cpp
@@ -17,11 +17,32 @@
 
 TEST(StructuredFields, VectorsOfTheSpecification) {
   const auto accepts = [](const char* text) { return std::holds_alternative<List>(parse_list(text)); };
-  for (const auto* good : {"sugar, tea, rum", "(\"foo\" \"bar\"), (\"baz\"), (\"bat\" \"one\"), ()", "abc;a=1;b=2; cde_456, (ghi;jk=4 l);q=\"9\";r=w",
-                           "1, 42", "-0", "4.5", "\"hello \\\"world\\\"\"", "foo123/456", ":cHJldGVuZCB0aGlzIGlzIGJpbmFyeSBjb250ZW50Lg==:", "?1", "", "  a  "})
+  for (const auto* good :
+       {"sugar, tea, rum", "(\"foo\" \"bar\"), (\"baz\"), (\"bat\" \"one\"), ()",
+        "abc;a=1;b=2; cde_456, (ghi;jk=4 l);q=\"9\";r=w", "1, 42", "-0", "4.5", "\"hello \\\"world\\\"\"",
+        "foo123/456", ":cHJldGVuZCB0aGlzIGlzIGJpbmFyeSBjb250ZW50Lg==:", "?1", "", "  a  "})
     EXPECT_TRUE(accepts(good)) << good;
-  for (const auto* bad : {"sugar,", ",", "a,,b", "(a", "(a b", "(a,b)", "\"open", "\"bad \\x\"", "--1", "1.", "1.2345", "1234567890123456", "1234567890123.0",
-                          "?2", ":not base64!:", ":open", "a;=1", "a;A=1", "a b", "\"\x01\"", "\x80"})
+  for (const auto* bad : {"sugar,",
+                          ",",
+                          "a,,b",
+                          "(a",
+                          "(a b",
+                          "(a,b)",
+                          "\"open",
+                          "\"bad \\x\"",
+                          "--1",
+                          "1.",
+                          "1.2345",
+                          "1234567890123456",
+                          "1234567890123.0",
+                          "?2",
+                          ":not base64!:",
+                          ":open",
+                          "a;=1",
+                          "a;A=1",
+                          "a b",
+                          "\"\x01\"",
+                          "\x80"})
     EXPECT_FALSE(accepts(bad)) << bad;
   const auto dictionary = std::get<Dictionary>(parse_dictionary("a=1, b;x=?0, a=(1 2);y, c=?0"));
   EXPECT_EQ(*written(dictionary), "b;x=?0, a=(1 2);y, c=?0");  // a later entry takes the place of the earlier
@@ -36,7 +57,9 @@
     const auto bytes = *rc::gen::arbitrary<std::string>();
     const auto whole = *rc::gen::inRange<std::int64_t>(-999'999'999'999'999, 999'999'999'999'999);
     const auto parts = static_cast<double>(*rc::gen::inRange<std::int64_t>(-999'999'999, 999'999'999)) / 1000;
-    const List list{Item{text, {{"k", true}, {"n", whole}}}, InnerList{{Item{ByteSequence{bytes}, {}}, Item{parts, {}}}, {{"t", Token{"*a/b"}}}}, Item{false, {}}};
+    const List list{Item{text, {{"k", true}, {"n", whole}}},
+                    InnerList{{Item{ByteSequence{bytes}, {}}, Item{parts, {}}}, {{"t", Token{"*a/b"}}}},
+                    Item{false, {}}};
     const auto coded = written(list);
     RC_ASSERT(coded.has_value());
     const auto parsed = parse_list(*coded);
@@ -47,17 +70,19 @@
 
 TEST(StructuredFields, AnyBytesAreReadOrFaulted) {
   EXPECT_TRUE(rc::check("no bytes break the reader, and what it takes it can write", [] {
-    const auto text = *rc::gen::container<std::string>(rc::gen::elementOf(std::string("ab1.-,;=()\"\\:?*/ \t\x80")));
+    const auto text =
+        *rc::gen::container<std::string>(rc::gen::elementOf(std::string("ab1.-,;=()\"\\:?*/ \t\x80")));
     const auto parsed = parse_list(text);
     if (const auto* list = std::get_if<List>(&parsed)) RC_ASSERT(written(*list).has_value());
   }));
 }
 
 TEST(Cmcd, EveryReservedKeyByHeaderAndByQuery) {
-  const http::Fields fields{{"cmcd-object", "br=3200,d=4004,ot=v,tb=6000"},
-                            {"CMCD-Request", "bl=21300,dl=18500,mtp=48100,nor=\"..%2F300kbps%2Ftrack.m4v\",nrr=\"12323-48763\",su"},
-                            {"CMCD-Session", "cid=\"faec5fc2-ac30-11ea\",pr=1.08,sf=d,sid=\"6e2fb550-c457\",st=l,v=1"},
-                            {"CMCD-Status", "bs,rtp=15000"}};
+  const http::Fields fields{
+      {"cmcd-object", "br=3200,d=4004,ot=v,tb=6000"},
+      {"CMCD-Request", "bl=21300,dl=18500,mtp=48100,nor=\"..%2F300kbps%2Ftrack.m4v\",nrr=\"12323-48763\",su"},
+      {"CMCD-Session", "cid=\"faec5fc2-ac30-11ea\",pr=1.08,sf=d,sid=\"6e2fb550-c457\",st=l,v=1"},
+      {"CMCD-Status", "bs,rtp=15000"}};
   const auto read = read_cmcd(fields, "/x");
   EXPECT_TRUE(read.present);
   EXPECT_TRUE(read.faults.empty());
@@ -88,12 +113,40 @@
   const struct {
     const char* text;
     const char* key;
-  } bad[] = {{"br=fast", "br"},     {"br", "br"},         {"br=-1", "br"},      {"br=1.5", "br"},     {"bl=\"1\"", "bl"},   {"bs=maybe", "bs"},
-             {"bs=1", "bs"},        {"cid=plain", "cid"}, {"cid=\"\"", "cid"},  {"d=?1", "d"},        {"dl=:eA==:", "dl"},  {"mtp=1e9", "mtp"},
-             {"nor=\"%zz\"", "nor"}, {"nor=x", "nor"},    {"nrr=\"12\"", "nrr"}, {"nrr=\"-\"", "nrr"}, {"nrr=\"a-b\"", "nrr"}, {"ot=zz", "ot"},
-             {"ot=\"v\"", "ot"},    {"pr=fast", "pr"},    {"pr=-1", "pr"},      {"pr", "pr"},         {"rtp=99999999999999999999", "rtp"},
-             {"sf=x", "sf"},        {"sid=unquoted", "sid"}, {"sid=\"open", "sid"}, {"st=x", "st"},   {"su=2", "su"},       {"tb=", "tb"},
-             {"v=2", "v"},          {"unknown=1", "unknown"}, {"=1", ""},       {"a b=1", "a b"},     {"", ""}};
+  } bad[] = {{"br=fast", "br"},
+             {"br", "br"},
+             {"br=-1", "br"},
+             {"br=1.5", "br"},
+             {"bl=\"1\"", "bl"},
+             {"bs=maybe", "bs"},
+             {"bs=1", "bs"},
+             {"cid=plain", "cid"},
+             {"cid=\"\"", "cid"},
+             {"d=?1", "d"},
+             {"dl=:eA==:", "dl"},
+             {"mtp=1e9", "mtp"},
+             {"nor=\"%zz\"", "nor"},
+             {"nor=x", "nor"},
+             {"nrr=\"12\"", "nrr"},
+             {"nrr=\"-\"", "nrr"},
+             {"nrr=\"a-b\"", "nrr"},
+             {"ot=zz", "ot"},
+             {"ot=\"v\"", "ot"},
+             {"pr=fast", "pr"},
+             {"pr=-1", "pr"},
+             {"pr", "pr"},
+             {"rtp=99999999999999999999", "rtp"},
+             {"sf=x", "sf"},
+             {"sid=unquoted", "sid"},
+             {"sid=\"open", "sid"},
+             {"st=x", "st"},
+             {"su=2", "su"},
+             {"tb=", "tb"},
+             {"v=2", "v"},
+             {"unknown=1", "unknown"},
+             {"=1", ""},
+             {"a b=1", "a b"},
+             {"", ""}};
   for (const auto& entry : bad) {
     const auto read = read_text(std::string("mtp=500,") + entry.text);
     ASSERT_EQ(read.faults.size(), 1u) << entry.text;
@@ -108,7 +161,8 @@
 
 TEST(Cmcd, AnyBytesAreRead) {
   EXPECT_TRUE(rc::check("no bytes break the reader", [] {
-    const auto text = *rc::gen::container<std::string>(rc::gen::elementOf(std::string("brsidmtp=,\"\\%?:1.- \x80")));
+    const auto text =
+        *rc::gen::container<std::string>(rc::gen::elementOf(std::string("brsidmtp=,\"\\%?:1.- \x80")));
     const auto read = read_text(text);
     RC_ASSERT(read_cmcd(cmcd_headers(read.hints), "/").faults.empty());  // what it took, it can say again
   }));
@@ -116,7 +170,8 @@
 
 TEST(Cmsd, EntriesOfEachHopInOrder) {
   const auto read = read_cmsd("ot=v,sf=h,st=v,d=5000,br=2000",
-                              "\"box-1\";etp=96;rtt=8;du;org.violettide-util=0.73, \"edge\";mb=5000;rd=12, token;etp=1, \"bad\";etp=\"x\"");
+                              "\"box-1\";etp=96;rtt=8;du;org.violettide-util=0.73, \"edge\";mb=5000;rd=12, "
+                              "token;etp=1, \"bad\";etp=\"x\"");
   EXPECT_EQ(read.fixed->bitrate, 2000);
   EXPECT_EQ(read.fixed->object_duration, 5000);
   ASSERT_EQ(read.hops.size(), 3u);
@@ -128,8 +183,9 @@
   CmsdDynamic own;
   own.server = "front \"a\"";
   own.max_suggested_bitrate = 320;
-  EXPECT_EQ(with_entry("\"box-1\";rtt=8", own), "\"box-1\";rtt=8, \"front \\\"a\\\"\";mb=320");
-  EXPECT_EQ(with_entry("\"box-1\";;", own), "\"front \\\"a\\\"\";mb=320");  // what came malformed is not passed on
+  EXPECT_EQ(after_entries("\"box-1\";rtt=8", own), "\"box-1\";rtt=8, \"front \\\"a\\\"\";mb=320");
+  EXPECT_EQ(after_entries("", own), "\"front \\\"a\\\"\";mb=320");
+  EXPECT_FALSE(read_cmsd("", "\"box-1\";;").dynamic_whole) << "what came malformed is not passed on";
   EXPECT_EQ(read_cmsd("br=", "((").faults.size(), 2u);
 }
 
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -1,10 +1,10 @@
 // HTTP messages: whole and in pieces, pipelined, at and over each limit, and malformed by the hundred.
+#include "http/http.h"
+
 #include <gtest/gtest.h>
 
 #include <random>
 
-#include "http/http.h"
-
 namespace violettide::http {
 namespace {
 
@@ -52,29 +52,36 @@
   for (int i = 0; i < 9; ++i) many += "X: y\r\n";
   EXPECT_EQ(fault_of(many + "\r\n", limits), 431);
   EXPECT_EQ(fault_of("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\nhello world", limits), 413);
-  EXPECT_EQ(fault_of("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n0\r\n\r\n", limits), 413);
+  EXPECT_EQ(
+      fault_of("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n0\r\n\r\n", limits),
+      413);
   EXPECT_EQ(fault_of("GET / HTTP/2.0\r\n\r\n"), 505);
 }
 
 TEST(RequestReader, MalformedByTheHundred) {
-  const std::string good = "GET /p/t/r1/0.m4s HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"a\"\r\nContent-Length: 0\r\n\r\n";
+  const std::string good =
+      "GET /p/t/r1/0.m4s HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"a\"\r\nContent-Length: 0\r\n\r\n";
   std::minstd_rand chance(5);
   int faults = 0;
   for (int i = 0; i < 600; ++i) {
     auto text = good;
     for (int change = 0; change < 1 + i % 4; ++change) {
       const auto at = chance() % text.size();
-      if (i % 3 == 0) text[at] = static_cast<char>(chance() % 256);
-      else if (i % 3 == 1) text.erase(at, 1 + chance() % 5);
-      else text.insert(at, 1 + chance() % 3, "\r\n :\0"[chance() % 5]);
+      if (i % 3 == 0)
+        text[at] = static_cast<char>(chance() % 256);
+      else if (i % 3 == 1)
+        text.erase(at, 1 + chance() % 5);
+      else
+        text.insert(at, 1 + chance() % 3, "\r\n :\0"[chance() % 5]);
     }
     const int status = fault_of(text);
     EXPECT_TRUE(status == 0 || (status >= 400 && status < 600)) << status;
     faults += status != 0;
   }
   EXPECT_GT(faults, 200);
-  for (const auto* bad : {"\r\n\r\n\r\n", "GET\r\n\r\n", "GET / HTTP/1.1\r\nNo colon\r\n\r\n", "GET / HTTP/1.1\r\n : x\r\n\r\n",
-                          "GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+  for (const auto* bad : {"\r\n\r\n\r\n", "GET\r\n\r\n", "GET / HTTP/1.1\r\nNo colon\r\n\r\n",
+                          "GET / HTTP/1.1\r\n : x\r\n\r\n", "GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+                          "GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
                           "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"})
     EXPECT_EQ(fault_of(bad), 400) << bad;
 }
--- a/tests/program/manager_test.cpp
+++ b/tests/program/manager_test.cpp
@@ -1,8 +1,9 @@
 // The manager's core against a scripted module and peers moved by hand: every mishap of real sockets.
+#include "manager/manager.h"
+
 #include <gtest/gtest.h>
 
 #include "hints/cmsd.h"
-#include "manager/manager.h"
 #include "net.h"
 
 namespace violettide::manager {
@@ -43,7 +44,9 @@
     terms.silence = 3s;
     terms.viewer_links = 8;
     auto script = std::make_unique<Script>(&told);
-    script->decide_so = [this](Span now, const Event& event) { return decide ? decide(now, event) : place(event); };
+    script->decide_so = [this](Span now, const Event& event) {
+      return decide ? decide(now, event) : place(event);
+    };
     front = std::make_unique<Manager>(terms, 1, "", std::move(script));
     net.add(*front, 1);
     net.add(box, 1);
@@ -93,7 +96,8 @@
     act(host);
   }
   static std::string object(const std::string& body, const std::string& more = "") {
-    return "HTTP/1.1 200 OK\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 200 OK\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
   }
   std::string& got(Link link) { return viewer.peers[link].got; }
   template <typename Kind>
@@ -121,26 +125,34 @@
   std::map<PlaybackId, int> tries;
   std::function<std::vector<Order>(Span, const Event&)> decide;
   Link next_link = 1;
-  std::string boxes_json = R"({"revision":1,"clock_ms":100000,"boxes":[)"
-                           R"({"name":"b0","address":"127.0.0.1","port":1001,"state":"ready","kind":0,"cell":0,"hall":"h","weight":1},)"
-                           R"({"name":"b1","address":"127.0.0.1","port":2001,"state":"ready","kind":0,"cell":1,"hall":"h","weight":1}]})";
+  std::string boxes_json =
+      R"({"revision":1,"clock_ms":100000,"boxes":[)"
+      R"({"name":"b0","address":"127.0.0.1","port":1001,"state":"ready","kind":0,"cell":0,"hall":"h","weight":1},)"
+      R"({"name":"b1","address":"127.0.0.1","port":2001,"state":"ready","kind":0,"cell":1,"hall":"h","weight":1}]})";
 };
 
 TEST_F(Mishaps, AWholePathWithHintsOfBoth) {
   const auto link = dial();
-  send(link, "GET /a/t/r2/0.m4s?CMCD=sid%3D%22q%22%2Ctb%3D170 HTTP/1.1\r\nHost: x\r\ntraceparent: 00-ab-cd-01\r\n\r\n");
+  send(link,
+       "GET /a/t/r2/0.m4s?CMCD=sid%3D%22q%22%2Ctb%3D170 HTTP/1.1\r\nHost: x\r\ntraceparent: "
+       "00-ab-cd-01\r\n\r\n");
   ASSERT_EQ(asked(box).size(), 1u);
   const auto at_box = box.peers[box.accepted[0]].got;
-  EXPECT_NE(at_box.find("GET /a/t/r1/0.m4s HTTP/1.1\r\n"), std::string::npos) << "the rung in force, not the one asked";
+  EXPECT_NE(at_box.find("GET /a/t/r1/0.m4s HTTP/1.1\r\n"), std::string::npos)
+      << "the rung in force, not the one asked";
   EXPECT_NE(at_box.find("sid=\"q\""), std::string::npos);
   EXPECT_NE(at_box.find("su"), std::string::npos);
   EXPECT_NE(at_box.find("traceparent: 00-ab-cd-01"), std::string::npos);
   EXPECT_EQ(told_of<Request>()[0].top, 1) << "its top bitrate fits rung 1";
-  box_sends(box, box_host, box.accepted[0], object("hello", "CMSD-Static: br=160\r\nCMSD-Dynamic: \"b0\";org.violettide-util=0.4\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nETag: \"e\"\r\n"));
+  box_sends(box, box_host, box.accepted[0],
+            object("hello",
+                   "CMSD-Static: br=160\r\nCMSD-Dynamic: \"b0\";org.violettide-util=0.4\r\nConnection: "
+                   "keep-alive, X-Hop\r\nX-Hop: 1\r\nETag: \"e\"\r\n"));
   const auto& answer = got(link);
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 OK\r\n")) << answer;
   EXPECT_NE(answer.find("CMSD-Static: br=160"), std::string::npos);
-  EXPECT_NE(answer.find("CMSD-Dynamic: \"b0\";org.violettide-util=0.4, \"m\";mb=160"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("CMSD-Dynamic: \"b0\";org.violettide-util=0.4, \"m\";mb=160"), std::string::npos)
+      << answer;
   EXPECT_NE(answer.find("ETag"), std::string::npos);
   EXPECT_EQ(answer.find("X-Hop"), std::string::npos) << "fields of one hop end there";
   EXPECT_TRUE(answer.ends_with("\r\n\r\nhello"));
@@ -152,10 +164,11 @@
 }
 
 TEST_F(Mishaps, ATryEndsForEachCauseAndTheNextIsSent) {
-  const std::pair<std::string, Outcome> answers[] = {{"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", Outcome::full},
-                                                     {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", Outcome::error},
-                                                     {"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", Outcome::error},
-                                                     {"not HTTP at all\r\n\r\n", Outcome::error}};
+  const std::pair<std::string, Outcome> answers[] = {
+      {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", Outcome::full},
+      {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", Outcome::error},
+      {"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", Outcome::error},
+      {"not HTTP at all\r\n\r\n", Outcome::error}};
   int n = 0;
   for (const auto& [text, outcome] : answers) {
     told.clear();
@@ -255,7 +268,8 @@
   const auto asked_at = net.now();
   send(link, get("/a/t/r2/0"));
   net.run(asked_at + 4s);
-  EXPECT_TRUE(got(link).starts_with("HTTP/1.1 504")) << "answered before the viewer's time was up: " << got(link);
+  EXPECT_TRUE(got(link).starts_with("HTTP/1.1 504"))
+      << "answered before the viewer's time was up: " << got(link);
   ASSERT_EQ(told_of<Withdrawn>().size(), 1u);
   ASSERT_EQ(told_of<TryEnded>().size(), 1u);
   EXPECT_TRUE(told_of<TryEnded>()[0].over);
@@ -330,7 +344,8 @@
   };
   box.peers[box.accepted[0]].got.clear();
   send(link, get("/a/t/r0/1"));
-  EXPECT_NE(box.peers[box.accepted[0]].got.find("GET /a/t/r1/1 "), std::string::npos) << "never under the plan's floor: " << box.peers[box.accepted[0]].got;
+  EXPECT_NE(box.peers[box.accepted[0]].got.find("GET /a/t/r1/1 "), std::string::npos)
+      << "never under the plan's floor: " << box.peers[box.accepted[0]].got;
   EXPECT_EQ(box.peers[box.accepted[0]].got.find("su"), std::string::npos) << "no set-up";
   box_sends(box, box_host, box.accepted[0], object("y"));
   EXPECT_TRUE(got(link).ends_with("y"));
@@ -415,7 +430,8 @@
   const auto link = dial();
   send(link, get("/a/t/r2/0"));
   box_sends(box, box_host, box.accepted[0], object("x"));
-  send(link, "GET /a/t/r2/1 HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"s1\"\r\nCMCD-Request: bl=6000\r\n\r\n");
+  send(link,
+       "GET /a/t/r2/1 HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"s1\"\r\nCMCD-Request: bl=6000\r\n\r\n");
   box_sends(box, box_host, box.accepted[0], object("y"));
   net.run(net.now() + 5s);
   EXPECT_EQ(front->held().playbacks, 1u) << "six seconds are in its buffer";
@@ -476,16 +492,17 @@
 }
 
 TEST_F(Mishaps, MalformedRequestsGetOneClearAnswerEach) {
-  const std::pair<std::string, std::string> cases[] = {{"GET /nowhere HTTP/1.1\r\n\r\n", "404"},
-                                                       {"GET /b/t/r1/0 HTTP/1.1\r\n\r\n", "404"},
-                                                       {"GET /a/t/rx/0 HTTP/1.1\r\n\r\n", "404"},
-                                                       {"GET /a/../r1/0 HTTP/1.1\r\n\r\n", "404"},
-                                                       {"GET /a/%2e%2e/r1/0 HTTP/1.1\r\n\r\n", "404"},
-                                                       {"GET /a/t%2Fu/r1/0 HTTP/1.1\r\n\r\n", "404"},
-                                                       {"GET /a/t%zz/r1/0 HTTP/1.1\r\n\r\n", "404"},
-                                                       {"POST /a/t/r1/0 HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "405"},
-                                                       {"HEAD /a/t/r1/0 HTTP/1.1\r\n\r\n", "405"},
-                                                       {"nonsense\r\n\r\n", "400"}};
+  const std::pair<std::string, std::string> cases[] = {
+      {"GET /nowhere HTTP/1.1\r\n\r\n", "404"},
+      {"GET /b/t/r1/0 HTTP/1.1\r\n\r\n", "404"},
+      {"GET /a/t/rx/0 HTTP/1.1\r\n\r\n", "404"},
+      {"GET /a/../r1/0 HTTP/1.1\r\n\r\n", "404"},
+      {"GET /a/%2e%2e/r1/0 HTTP/1.1\r\n\r\n", "404"},
+      {"GET /a/t%2Fu/r1/0 HTTP/1.1\r\n\r\n", "404"},
+      {"GET /a/t%zz/r1/0 HTTP/1.1\r\n\r\n", "404"},
+      {"POST /a/t/r1/0 HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "405"},
+      {"HEAD /a/t/r1/0 HTTP/1.1\r\n\r\n", "405"},
+      {"nonsense\r\n\r\n", "400"}};
   for (const auto& [text, status] : cases) {
     const auto link = dial();
     send(link, text);
--- a/tests/program/net.h
+++ b/tests/program/net.h
@@ -29,7 +29,9 @@
     post(now_, host, Woken{});
     return host;
   }
-  static std::uint16_t port(int host, int door = 0) { return static_cast<std::uint16_t>(host * 1000 + door + 1); }
+  static std::uint16_t port(int host, int door = 0) {
+    return static_cast<std::uint16_t>(host * 1000 + door + 1);
+  }
   void replace(int host, Core& core) {
     hosts_[host].core = &core;
     hosts_[host].alive = true;
@@ -67,7 +69,8 @@
       now_ = std::max(now_, key.first);
       auto& host = hosts_[event.host];
       if (!host.alive) continue;
-      if (!event.bytes.empty() && std::holds_alternative<Woken>(event.what) && key.second != host.wake) continue;
+      if (!event.bytes.empty() && std::holds_alternative<Woken>(event.what) && key.second != host.wake)
+        continue;
       if (now_ < host.still_until) {
         events_.emplace(std::pair(host.still_until, key.second), std::move(event));
         continue;
@@ -135,55 +138,62 @@
 
   void perform(int at, Act& act) {
     auto& host = hosts_[at];
-    std::visit(Visit{
-                   [&](Dial& a) {
-                     const int far = (a.port - 1) / 1000, door = (a.port - 1) % 1000;
-                     if (far >= static_cast<int>(hosts_.size()) || !hosts_[far].open.contains(door)) {
-                       host.wires[a.link] = {at, 0};
-                       return post(now_ + latency, at, Ended{a.link, Ending::refused});
-                     }
-                     const Link theirs = hosts_[far].next++;
-                     host.wires[a.link] = {far, theirs};
-                     hosts_[far].wires[theirs] = {at, a.link};
-                     post(now_ + latency, far, Accepted{theirs, door});
-                     post(now_ + 2 * latency, at, Connected{a.link});
-                   },
-                   [&](Send& a) {
-                     const auto wire = host.wires.find(a.link);
-                     if (wire == host.wires.end()) return;
-                     post(now_ + latency, wire->second.host, Received{wire->second.link, {}}, std::move(a.bytes));
-                   },
-                   [&](Hang& a) {
-                     const auto wire = host.wires.find(a.link);
-                     if (wire == host.wires.end()) return;
-                     const auto far = wire->second;
-                     host.wires.erase(wire);
-                     if (far.link == 0) return;
-                     if (a.after_sending) post(now_ + latency, far.host, HalfClosed{far.link});
-                     else post(now_ + latency, far.host, Ended{far.link, Ending::reset});
-                   },
-                   [&](Hold& a) {
-                     if (const auto wire = host.wires.find(a.link); wire != host.wires.end()) wire->second.held = true;
-                   },
-                   [&](Resume& a) {
-                     const auto found = host.wires.find(a.link);
-                     if (found == host.wires.end() || !found->second.held) return;
-                     auto& wire = found->second;
-                     wire.held = false;
-                     if (!wire.waiting.empty()) post(now_, at, Received{a.link, {}}, std::exchange(wire.waiting, {}));
-                     if (std::exchange(wire.half_waiting, false)) post(now_, at, HalfClosed{a.link});
-                   },
-                   [&](WakeAt& a) {  // replaces an earlier one
-                     host.wake = sequence_;
-                     post(std::max(now_, a.at), at, Woken{}, "wake");
-                   },
-                   [&](Open& a) { host.open.insert(a.door); },
-                   [&](Shut& a) { host.open.erase(a.door); },
-                   [&](Store& a) { stored_[{at, a.name}] = a.bytes; },
-                   [&](Say& a) { said.emplace_back(at, a); },
-                   [&](Leave&) { kill(at); },
-               },
-               act);
+    std::visit(
+        Visit{
+            [&](Dial& a) {
+              const int far = (a.port - 1) / 1000, door = (a.port - 1) % 1000;
+              if (far >= static_cast<int>(hosts_.size()) || !hosts_[far].open.contains(door)) {
+                host.wires[a.link] = {at, 0};
+                return post(now_ + latency, at, Ended{a.link, Ending::refused});
+              }
+              const Link theirs = hosts_[far].next++;
+              host.wires[a.link] = {far, theirs};
+              hosts_[far].wires[theirs] = {at, a.link};
+              post(now_ + latency, far, Accepted{theirs, door});
+              post(now_ + 2 * latency, at, Connected{a.link});
+            },
+            [&](Send& a) {
+              const auto wire = host.wires.find(a.link);
+              if (wire == host.wires.end()) return;
+              post(now_ + latency, wire->second.host, Received{wire->second.link, {}}, std::move(a.bytes));
+            },
+            [&](Hang& a) {
+              const auto wire = host.wires.find(a.link);
+              if (wire == host.wires.end()) return;
+              const auto far = wire->second;
+              host.wires.erase(wire);
+              if (far.link == 0) return;
+              if (a.after_sending)
+                post(now_ + latency, far.host, HalfClosed{far.link});
+              else
+                post(now_ + latency, far.host, Ended{far.link, Ending::reset});
+            },
+            [&](Hold& a) {
+              if (const auto wire = host.wires.find(a.link); wire != host.wires.end())
+                wire->second.held = true;
+            },
+            [&](Resume& a) {
+              const auto found = host.wires.find(a.link);
+              if (found == host.wires.end() || !found->second.held) return;
+              auto& wire = found->second;
+              wire.held = false;
+              if (!wire.waiting.empty())
+                post(now_, at, Received{a.link, {}}, std::exchange(wire.waiting, {}));
+              if (std::exchange(wire.half_waiting, false)) post(now_, at, HalfClosed{a.link});
+            },
+            [&](WakeAt& a) {  // replaces an earlier one
+              host.wake = sequence_;
+              post(std::max(now_, a.at), at, Woken{}, "wake");
+            },
+            [&](Open& a) { host.open.insert(a.door); },
+            [&](Shut& a) { host.open.erase(a.door); },
+            [&](Store& a) {
+              stored_[{at, a.name}] = a.bytes;
+            },
+            [&](Say& a) { said.emplace_back(at, a); },
+            [&](Leave&) { kill(at); },
+        },
+        act);
   }
 
   void cut(int host, Link link, Ending how) {
--- a/tests/program/runtime_test.cpp
+++ b/tests/program/runtime_test.cpp
@@ -1,10 +1,11 @@
 // The runtime on loopback sockets: free ports, events waited for, every loop bounded by its own core.
+#include "runtime/runtime.h"
+
 #include <gtest/gtest.h>
 
 #include <map>
 
 #include "manager/manager.h"
-#include "runtime/runtime.h"
 
 namespace violettide::runtime {
 namespace {
@@ -102,10 +103,14 @@
   void happened(Span now, const Happening& what, std::vector<Act>& acts) override {
     std::visit(Visit{
                    [&](const Woken&) {
-                     if (!dialled_) dialled_ = true, acts.push_back(Dial{1, "127.0.0.1", port});
-                     else if (now >= resume_at_ && held_) held_ = false, acts.push_back(Resume{1});
+                     if (!dialled_)
+                       dialled_ = true, acts.push_back(Dial{1, "127.0.0.1", port});
+                     else if (now >= resume_at_ && held_)
+                       held_ = false, acts.push_back(Resume{1});
+                   },
+                   [&](const Accepted& a) {
+                     acts.push_back(Send{a.link, std::string(size, 'x')});
                    },
-                   [&](const Accepted& a) { acts.push_back(Send{a.link, std::string(size, 'x')}); },
                    [&](const Connected&) {
                      held_ = true;
                      resume_at_ = now + 200ms;
@@ -171,7 +176,8 @@
       }
       if (const auto* received = std::get_if<Received>(&what); received && received->link == 1000) {
         answer += received->bytes;
-        if (answer.find("\r\n\r\n") != std::string::npos && !stopped) stopped = true, front->handle(now, StopAsked{}, acts);
+        if (answer.find("\r\n\r\n") != std::string::npos && !stopped)
+          stopped = true, front->handle(now, StopAsked{}, acts);
         return;
       }
       if (const auto* half = std::get_if<HalfClosed>(&what); half && half->link == 1000) return;
--- a/tests/program/settings_test.cpp
+++ b/tests/program/settings_test.cpp
@@ -54,15 +54,19 @@
     const char* to;
     const char* expected;
   } cases[] = {
-      {"startup_target = ms(800)", "startup_target = 800", "f.star:4:18: 'startup_target': expected a time, such as ms(250), found the number 800"},
-      {"startup_target = ms(800)", "startup_target = kB_per_s(8)", "f.star:4:18: 'startup_target': expected a time, such as ms(250), found a rate"},
-      {"startup_target = ms(800), ", "", "f.star:4:1: 'plan' lacks 'startup_target': expected a time, such as ms(250)"},
+      {"startup_target = ms(800)", "startup_target = 800",
+       "f.star:4:18: 'startup_target': expected a time, such as ms(250), found the number 800"},
+      {"startup_target = ms(800)", "startup_target = kB_per_s(8)",
+       "f.star:4:18: 'startup_target': expected a time, such as ms(250), found a rate"},
+      {"startup_target = ms(800), ", "",
+       "f.star:4:1: 'plan' lacks 'startup_target': expected a time, such as ms(250)"},
       {"floor = 1", "flor = 1", "f.star:4:60: 'plan' takes no 'flor' (did you mean 'floor'?)"},
       {"floor = 1", "floor = 9", "f.star:4:60: the ladder's last rung is 1"},
       {"floor = 1", "floor = -1", "f.star:4:60: 'floor': -1 is out of bounds: expected 0 to 64"},
       {"floor = 1", "floor = 1, floor = 0", "f.star:4:71: 'floor' is given twice"},
       {"revenue = [0.5, 1]", "revenue = [0.5]", "f.star:3:23: the ladder has 2 rates and 1 revenues"},
-      {"revenue = [0.5, 1]", "revenue = [0.5, \"x\"]", "f.star:3:23: 'revenue': expected a number, found the text \"x\""},
+      {"revenue = [0.5, 1]", "revenue = [0.5, \"x\"]",
+       "f.star:3:23: 'revenue': expected a number, found the text \"x\""},
       {"rates = RATES", "rates = RATE", "f.star:3:8: no name 'RATE' (did you mean 'RATES'?)"},
       {"hall('y')", "hall('x')", "f.star:7:6: two halls named 'x'"},
       {"hall('y')", "hal('y')", "f.star:7:1: no builtin 'hal' (did you mean 'hall'?)"},
@@ -108,22 +112,32 @@
 }
 
 TEST(Deployment, LoadsNamesAndCallsOfOtherFiles) {
-  const auto text = "load(\"sub/rates.star\", \"R\")\n" + without_semicolon().replace(without_semicolon().find("rates = RATES"), 13, "rates = R");
-  const auto read = read_deployment("d/f.star", files_of({{"d/f.star", text}, {"d/sub/rates.star", "R = [kB_per_s(1), kB_per_s(2)]\nload(\"../none.star\")"}}));
+  const auto text = "load(\"sub/rates.star\", \"R\")\n" +
+                    without_semicolon().replace(without_semicolon().find("rates = RATES"), 13, "rates = R");
+  const auto read = read_deployment(
+      "d/f.star", files_of({{"d/f.star", text},
+                            {"d/sub/rates.star", "R = [kB_per_s(1), kB_per_s(2)]\nload(\"../none.star\")"}}));
   ASSERT_TRUE(std::holds_alternative<Mistakes>(read));
-  EXPECT_NE(std::get<Mistakes>(read)[0].text().find("d/sub/rates.star:2:6"), std::string::npos) << std::get<Mistakes>(read)[0].text();
+  EXPECT_NE(std::get<Mistakes>(read)[0].text().find("d/sub/rates.star:2:6"), std::string::npos)
+      << std::get<Mistakes>(read)[0].text();
 }
 
 TEST(Day, TroublesNameWhomTheyBefall) {
-  const std::string day = "load(\"f.star\")\nday(length = s(4))\nboxes(count = 4)\nviewers(per_second = 1, least_watch = s(1), most_watch = s(2))\n";
+  const std::string day =
+      "load(\"f.star\")\nday(length = s(4))\nboxes(count = 4)\nviewers(per_second = 1, least_watch = s(1), "
+      "most_watch = s(2))\n";
   const auto told = [&](const std::string& line) {
-    const auto read = standins::read_day("d/day.star", files_of({{"d/f.star", without_semicolon()}, {"d/day.star", day + line}}));
+    const auto read = standins::read_day(
+        "d/day.star", files_of({{"d/f.star", without_semicolon()}, {"d/day.star", day + line}}));
     return std::holds_alternative<Mistakes>(read) ? std::get<Mistakes>(read)[0].text() : "";
   };
   EXPECT_EQ(told("trouble(kind = \"crash\", at = s(1), lasts = s(1), boxes = [3])"), "");
-  EXPECT_EQ(told("trouble(kind = \"crush\", at = s(1), lasts = s(1), boxes = [3])"), "d/day.star:5:9: no kind of trouble 'crush'");
-  EXPECT_EQ(told("trouble(kind = \"crash\", at = s(1), lasts = s(1), boxes = [4])"), "d/day.star:5:50: there are 4 boxes, numbered from 0");
-  EXPECT_EQ(told("trouble(kind = \"crash\", at = s(1), lasts = s(1))"), "d/day.star:5:1: 'crash' lacks whom it befalls: 'boxes'");
+  EXPECT_EQ(told("trouble(kind = \"crush\", at = s(1), lasts = s(1), boxes = [3])"),
+            "d/day.star:5:9: no kind of trouble 'crush'");
+  EXPECT_EQ(told("trouble(kind = \"crash\", at = s(1), lasts = s(1), boxes = [4])"),
+            "d/day.star:5:50: there are 4 boxes, numbered from 0");
+  EXPECT_EQ(told("trouble(kind = \"crash\", at = s(1), lasts = s(1))"),
+            "d/day.star:5:1: 'crash' lacks whom it befalls: 'boxes'");
 }
 
 }  // namespace
--- a/tests/program/wheel_test.cpp
+++ b/tests/program/wheel_test.cpp
@@ -1,11 +1,11 @@
 // The wheel against a plain sorted map, over random arming, disarming and leaps of time.
+#include "wheel/wheel.h"
+
 #include <gtest/gtest.h>
 
 #include <map>
 #include <random>
 
-#include "wheel/wheel.h"
-
 namespace violettide {
 namespace {
 
