--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -120,7 +120,7 @@
   const auto begin = [&] {
     const auto id = next++;
     const auto orders =
-        brain.handle(now, Request{id, 0, id % 100, now + 4s, std::nullopt, static_cast<int>(id % 8), 3, 1});
+        brain.handle(now, Request{id, 0, id % 100, now + 4s, std::nullopt, static_cast<int>(id % 8), 3, 1, nullptr});
     ServerId server = 0;
     for (const auto& order : orders) {
       if (const auto* set_up = std::get_if<SetUp>(&order)) server = set_up->server;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -277,6 +277,14 @@
     place(playback);
   }
 
+  // A request that waits is placed by its new holders at once, so that it is not held back for none.
+  void on(const HoldersChanged& what) {
+    const auto found = playbacks_.find(what.playback);
+    if (found == playbacks_.end()) return;
+    found->second.request.listed = what.listed;
+    if (found->second.state == Playback::State::waiting) place(found->second);
+  }
+
   void on(const CarriedOver& carried) {
     auto& playback = admit(carried.request);
     playback.state = Playback::State::playing;
@@ -745,6 +753,12 @@
   // The servers that hold the request's title and may be given it now, by id.
   std::vector<ServerId> open_holders(const Request& request) {
     std::vector<ServerId> open;
+    if (request.listed) {
+      for (const auto id : *request.listed) {
+        if (id < servers_.size() && servers_[id].listed && is_open(servers_[id])) open.push_back(id);
+      }
+      return open;
+    }
     for (int i = 0; i < std::min(request.holders, terms_.cells); ++i) {
       for (const auto id : cells_[wrapped(request.first_cell + i, cells_.size())]) {
         if (is_open(servers_[id])) open.push_back(id);
--- a/src/brain.h
+++ b/src/brain.h
@@ -73,6 +73,8 @@
   std::vector<ServerEntry> entries;
 };
 struct ListFailed {};
+// The video servers that hold a title, by id and rising; shared, so that a request costs no copy.
+using Holders = std::shared_ptr<const std::vector<ServerId>>;
 struct Request {
   PlaybackId playback = 0;
   int plan = 0;
@@ -80,8 +82,14 @@
   Span abandon_at{0};
   std::optional<Span> length;
   int first_cell = 0;
-  int holders = 1;
+  int holders = 1;  // cells in a row from the first
   int top = 0;
+  Holders listed;  // in place of the cells, where given
+};
+// The holders of a playback that is not placed yet, or may have to be again, are others now.
+struct HoldersChanged {
+  PlaybackId playback = 0;
+  Holders listed;
 };
 struct CarriedOver {
   Request request;
@@ -123,8 +131,8 @@
 struct TimerRang {
   std::uint32_t token = 0;
 };
-using Event = std::variant<ServerList, ListFailed, Request, CarriedOver, Withdrawn, Started, TryEnded,
-                           ProbeEnded, Note, TimerRang>;
+using Event = std::variant<ServerList, ListFailed, Request, HoldersChanged, CarriedOver, Withdrawn, Started,
+                           TryEnded, ProbeEnded, Note, TimerRang>;
 
 // What is to be done.
 struct SetUp {
--- a/tests/scenario_runner.cpp
+++ b/tests/scenario_runner.cpp
@@ -36,6 +36,7 @@
   double number(const std::string& key, double otherwise = 0) const {
     return has(key) ? std::stod(values_.at(key)) : otherwise;
   }
+  std::string text(const std::string& key) const { return values_.at(key); }
   int whole(const std::string& key, int otherwise = 0) const {
     return static_cast<int>(number(key, otherwise));
   }
@@ -182,6 +183,16 @@
     now_ = until;
   }
 
+  // listed=1+4, or listed=none
+  static Holders listed(const Named& named) {
+    std::vector<ServerId> ids;
+    std::istringstream text(named.text("listed"));
+    for (std::string id; std::getline(text, id, '+');) {
+      if (id != "none") ids.push_back(static_cast<ServerId>(std::stoul(id)));
+    }
+    return std::make_shared<const std::vector<ServerId>>(std::move(ids));
+  }
+
   Request request(const Words& words, const Named& named) const {
     Request request;
     request.playback = static_cast<PlaybackId>(std::stoul(words.at(1)));
@@ -192,6 +203,7 @@
     request.first_cell = named.whole("first");
     request.holders = named.whole("holders", 1);
     request.top = named.whole("top", 2);
+    if (named.has("listed")) request.listed = listed(named);
     return request;
   }
 
@@ -203,6 +215,7 @@
     if (what == "servers" || what == "changes" || what == "cached") return list(words);
     if (what == "list_failed") return ListFailed{};
     if (what == "request") return request(words, named);
+    if (what == "holders") return HoldersChanged{static_cast<PlaybackId>(std::stoul(words.at(1))), listed(named)};
     if (what == "carried") return CarriedOver{request(words, named), on};
     if (what == "withdrawn") return Withdrawn{first()};
     if (what == "started") return Started{first(), on, Span(0)};
