--- a/src/boxlist/boxlist.cpp
+++ b/src/boxlist/boxlist.cpp
@@ -45,6 +45,15 @@
   return found->second;
 }
 
+ServerId BoxList::index(std::string_view name) {
+  if (const auto known = find(name)) return *known;
+  const auto id = static_cast<ServerId>(boxes_.size());
+  boxes_.emplace_back().name = name;
+  started_.emplace_back();
+  by_name_.emplace(std::string(name), id);
+  return id;
+}
+
 std::variant<std::vector<BoxList::Entry>, Fault> BoxList::read(std::string_view text, std::int64_t& revision,
                                                                std::int64_t& clock) const {
   Json json;
@@ -103,13 +112,9 @@
 }
 
 void BoxList::put(Span now, const Entry& entry, std::int64_t clock, bool cached, News& news) {
-  const auto [found, fresh] = by_name_.try_emplace(entry.name, static_cast<ServerId>(boxes_.size()));
-  const auto id = found->second;
-  if (fresh) {
-    boxes_.emplace_back();
-    started_.emplace_back();
-  }
+  const auto id = index(entry.name);
   auto& box = boxes_[id];
+  const bool fresh = box.port == 0;  // named by others at most
   const bool elsewhere = !fresh && (box.address != entry.address || box.port != entry.port);
   const bool anew = entry.started != 0 && entry.started != box.incarnation;
   if (elsewhere || (!fresh && anew && box.incarnation != 0)) news.moved.push_back(id);
--- a/src/boxlist/boxlist.h
+++ b/src/boxlist/boxlist.h
@@ -50,6 +50,8 @@
   const Box& box(ServerId server) const { return boxes_.at(server); }
   std::size_t size() const { return boxes_.size(); }
   std::optional<ServerId> find(std::string_view name) const;
+  // The index of a box, known to the list or not: one that the list has not named is gone to it.
+  ServerId index(std::string_view name);
   std::int64_t revision() const { return revision_; }
   std::optional<Span> heard_at() const { return heard_at_; }
 
--- a/src/catalogue/catalogue.cpp
+++ b/src/catalogue/catalogue.cpp
@@ -17,7 +17,8 @@
   if (name.size() > most_name) return "longer than " + std::to_string(most_name) + " characters";
   if (name == "." || name == "..") return "a name that a path reads otherwise";
   for (const char c : name) {
-    if (static_cast<unsigned char>(c) < 0x21 || c == '/' || c == 0x7f) return "a character that a path may not hold";
+    if (static_cast<unsigned char>(c) < 0x21 || c == '/' || c == 0x7f)
+      return "a character that a path may not hold";
   }
   return std::nullopt;
 }
@@ -112,12 +113,15 @@
   node->below[id % width] = std::const_pointer_cast<Entry>(std::move(entry));
 }
 
-void EntryTrie::visit(const Node& node, unsigned level, RecordingId first, const std::function<void(RecordingId, const Entry&)>& visit_one) {
+void EntryTrie::visit(const Node& node, unsigned level, RecordingId first,
+                      const std::function<void(RecordingId, const Entry&)>& visit_one) {
   for (unsigned i = 0; i < width; ++i) {
     if (!node.below[i]) continue;
     const auto id = first | (i << (level * bits));
-    if (level == 0) visit_one(id, *static_cast<const Entry*>(node.below[i].get()));
-    else visit(*static_cast<const Node*>(node.below[i].get()), level - 1, id, visit_one);
+    if (level == 0)
+      visit_one(id, *static_cast<const Entry*>(node.below[i].get()));
+    else
+      visit(*static_cast<const Node*>(node.below[i].get()), level - 1, id, visit_one);
   }
 }
 
@@ -141,9 +145,11 @@
 Recording Snapshot::recording_of(const std::string& title, const Entry& entry) const {
   Recording recording{title, {}, {}};
   for (const auto& form : entry.forms) {
-    recording.renditions.push_back({words_->name(form.name), form.rung, words_->name(form.codec), form.kb_per_s, std::chrono::milliseconds(form.length_ms)});
+    recording.renditions.push_back({words_->name(form.name), form.rung, words_->name(form.codec),
+                                    form.kb_per_s, std::chrono::milliseconds(form.length_ms)});
   }
-  for (const auto& place : entry.places) recording.locations.push_back({boxes_->name(place.box), place.state, place.since_ms});
+  for (const auto& place : entry.places)
+    recording.locations.push_back({boxes_->name(place.box), place.state, place.since_ms});
   return recording;
 }
 
@@ -160,7 +166,11 @@
 // ---- changes ----
 
 Writer::Writer(BoxIndex boxes, int rungs)
-    : box_index_(std::move(boxes)), rungs_(rungs), titles_(std::make_shared<Names>()), words_(std::make_shared<Names>()), boxes_(std::make_shared<Names>()) {
+    : box_index_(std::move(boxes)),
+      rungs_(rungs),
+      titles_(std::make_shared<Names>()),
+      words_(std::make_shared<Names>()),
+      boxes_(std::make_shared<Names>()) {
   present_ = empty(0);
 }
 
@@ -181,27 +191,36 @@
 
 std::optional<Bad> Writer::check(const Recording& recording) const {
   if (const auto fault = name_fault(recording.title)) return Bad{0, "title", *fault};
-  if (recording.renditions.size() > most_renditions) return Bad{0, "renditions", "more than " + std::to_string(most_renditions)};
-  if (recording.locations.size() > most_locations) return Bad{0, "locations", "more than " + std::to_string(most_locations)};
+  if (recording.renditions.size() > most_renditions)
+    return Bad{0, "renditions", "more than " + std::to_string(most_renditions)};
+  if (recording.locations.size() > most_locations)
+    return Bad{0, "locations", "more than " + std::to_string(most_locations)};
   for (std::size_t i = 0; i < recording.renditions.size(); ++i) {
     const auto& one = recording.renditions[i];
     if (const auto fault = name_fault(one.name)) return Bad{0, at("renditions", i, "name"), *fault};
-    if (one.rung < 0 || one.rung >= rungs_) return Bad{0, at("renditions", i, "rung"), "the ladder has rungs 0 to " + std::to_string(rungs_ - 1)};
-    if (!(one.kb_per_s >= 0) || one.kb_per_s > 1e9) return Bad{0, at("renditions", i, "kb_per_s"), "expected a rate"};
+    if (one.rung < 0 || one.rung >= rungs_)
+      return Bad{0, at("renditions", i, "rung"), "the ladder has rungs 0 to " + std::to_string(rungs_ - 1)};
+    if (!(one.kb_per_s >= 0) || one.kb_per_s > 1e9)
+      return Bad{0, at("renditions", i, "kb_per_s"), "expected a rate"};
     const auto ms = one.length.count() / 1000;
     if (ms < 0 || ms > most_length_ms) return Bad{0, at("renditions", i, "length_ms"), "expected a length"};
-    if (one.codec.size() > most_name) return Bad{0, at("renditions", i, "codec"), "longer than " + std::to_string(most_name) + " characters"};
+    if (one.codec.size() > most_name)
+      return Bad{0, at("renditions", i, "codec"), "longer than " + std::to_string(most_name) + " characters"};
     for (std::size_t j = 0; j < i; ++j) {
-      if (recording.renditions[j].name == one.name) return Bad{0, at("renditions", i, "name"), "the same as renditions[" + std::to_string(j) + "].name"};
-      if (recording.renditions[j].rung == one.rung) return Bad{0, at("renditions", i, "rung"), "the same as renditions[" + std::to_string(j) + "].rung"};
+      if (recording.renditions[j].name == one.name)
+        return Bad{0, at("renditions", i, "name"), "the same as renditions[" + std::to_string(j) + "].name"};
+      if (recording.renditions[j].rung == one.rung)
+        return Bad{0, at("renditions", i, "rung"), "the same as renditions[" + std::to_string(j) + "].rung"};
     }
   }
   std::vector<std::string_view> seen;
   for (std::size_t i = 0; i < recording.locations.size(); ++i) {
     const auto& one = recording.locations[i];
     if (const auto fault = name_fault(one.box)) return Bad{0, at("locations", i, "box"), *fault};
-    if (std::find(seen.begin(), seen.end(), one.box) != seen.end()) return Bad{0, at("locations", i, "box"), "named twice"};
-    if (!boxes_->find(one.box) && boxes_->size() > 0xffff) return Bad{0, at("locations", i, "box"), "more boxes than a catalogue can name"};
+    if (std::find(seen.begin(), seen.end(), one.box) != seen.end())
+      return Bad{0, at("locations", i, "box"), "named twice"};
+    if (!boxes_->find(one.box) && boxes_->size() > 0xffff)
+      return Bad{0, at("locations", i, "box"), "more boxes than a catalogue can name"};
     seen.push_back(one.box);
   }
   return std::nullopt;
@@ -227,7 +246,8 @@
   entry->forms.reserve(recording.renditions.size());
   for (const auto& one : recording.renditions) {
     entry->forms.push_back({words_->id(one.name), words_->id(one.codec), static_cast<float>(one.kb_per_s),
-                            static_cast<std::uint32_t>(one.length.count() / 1000), static_cast<std::uint8_t>(one.rung)});
+                            static_cast<std::uint32_t>(one.length.count() / 1000),
+                            static_cast<std::uint8_t>(one.rung)});
   }
   entry->places.reserve(recording.locations.size());
   std::vector<ServerId> holders;
@@ -251,7 +271,9 @@
     return found->second;
   };
   for (std::size_t i = 0; i < batch.size(); ++i) {
-    const auto bad = [&](std::string field, std::string cause) { return Bad{i, std::move(field), std::move(cause)}; };
+    const auto bad = [&](std::string field, std::string cause) {
+      return Bad{i, std::move(field), std::move(cause)};
+    };
     const std::string* title = nullptr;
     if (const auto* put = std::get_if<PutRecording>(&batch[i])) {
       standing(put->recording.title) = put->recording;
--- a/src/catalogue/catalogue.h
+++ b/src/catalogue/catalogue.h
@@ -44,13 +44,28 @@
   bool operator==(const Recording&) const = default;
 };
 
-struct PutRecording { Recording recording; };  // whole, in place of what was
-struct RemoveRecording { std::string title; };
-struct PutRendition { std::string title; Rendition rendition; };
-struct RemoveRendition { std::string title, name; };
-struct PutLocation { std::string title; Location location; };
-struct RemoveLocation { std::string title, box; };
-using Change = std::variant<PutRecording, RemoveRecording, PutRendition, RemoveRendition, PutLocation, RemoveLocation>;
+struct PutRecording {
+  Recording recording;
+};  // whole, in place of what was
+struct RemoveRecording {
+  std::string title;
+};
+struct PutRendition {
+  std::string title;
+  Rendition rendition;
+};
+struct RemoveRendition {
+  std::string title, name;
+};
+struct PutLocation {
+  std::string title;
+  Location location;
+};
+struct RemoveLocation {
+  std::string title, box;
+};
+using Change =
+    std::variant<PutRecording, RemoveRecording, PutRendition, RemoveRendition, PutLocation, RemoveLocation>;
 
 // Why a batch was not taken: nothing of it was.
 struct Bad {
@@ -119,7 +134,8 @@
   };
   using NodePtr = std::shared_ptr<Node>;
   static NodePtr own(const std::shared_ptr<void>& node, std::uint64_t edit);
-  static void visit(const Node& node, unsigned level, RecordingId first, const std::function<void(RecordingId, const Entry&)>& visit);
+  static void visit(const Node& node, unsigned level, RecordingId first,
+                    const std::function<void(RecordingId, const Entry&)>& visit);
   NodePtr root_;
   unsigned levels_ = 1;
 };
--- a/src/catalogue/demand.cpp
+++ b/src/catalogue/demand.cpp
@@ -5,12 +5,16 @@
 
 namespace violettide::catalogue {
 
-Demand::Demand(std::size_t size, Span half_life) : most_(std::max<std::size_t>(1, size)), half_life_(half_life) { counters_.reserve(most_); }
+Demand::Demand(std::size_t size, Span half_life)
+    : most_(std::max<std::size_t>(1, size)), half_life_(half_life) {
+  counters_.reserve(most_);
+}
 
 // All counts fade alike, so their order, and the heap, stay as they are.
 void Demand::fade(Span now) {
   if (now <= faded_at_) return;
-  const double kept = std::exp2(-std::chrono::duration<double>(now - faded_at_) / std::chrono::duration<double>(half_life_));
+  const double kept =
+      std::exp2(-std::chrono::duration<double>(now - faded_at_) / std::chrono::duration<double>(half_life_));
   if (kept > 0.99) return;  // little by little would cost a pass each time
   faded_at_ = now;
   for (auto& counter : counters_) counter.count *= kept, counter.doubt *= kept, counter.turned_away *= kept;
@@ -71,7 +75,8 @@
   return found == places_.end() ? 0 : counters_[found->second].count;
 }
 
-std::vector<Wanted> Demand::wanting(Span now, const Snapshot& snapshot, double link_kb, double playback_kb, Span life, double fill, std::size_t most) {
+std::vector<Wanted> Demand::wanting(Span now, const Snapshot& snapshot, double link_kb, double playback_kb,
+                                    Span life, double fill, std::size_t most) {
   fade(now);
   std::vector<Wanted> wanting;
   // A count that halves in each half-life stands for so many seconds of arrivals.
@@ -79,7 +84,8 @@
   for (const auto& counter : counters_) {
     const auto* entry = snapshot.find(counter.recording);
     if (!entry) continue;
-    Wanted one{counter.recording, counter.count, counter.doubt, counter.turned_away, entry->holders->size(), 0};
+    Wanted one{counter.recording,   counter.count,          counter.doubt,
+               counter.turned_away, entry->holders->size(), 0};
     const double sure = std::max(0.0, counter.count - counter.doubt);
     const double playing = sure / window * std::chrono::duration<double>(life).count();
     const double given = link_kb * static_cast<double>(one.holders);
--- a/src/catalogue/demand.h
+++ b/src/catalogue/demand.h
@@ -12,11 +12,11 @@
 
 struct Wanted {
   RecordingId recording = 0;
-  double asked = 0;         // playbacks of late, never under the truth by more than `doubt`
+  double asked = 0;  // playbacks of late, never under the truth by more than `doubt`
   double doubt = 0;
-  double turned_away = 0;   // of them, for want of room at its holders
+  double turned_away = 0;  // of them, for want of room at its holders
   std::size_t holders = 0;
-  double fill = 0;          // what is asked over what its holders' links give, if it had them alone
+  double fill = 0;  // what is asked over what its holders' links give, if it had them alone
 };
 
 class Demand {
@@ -27,8 +27,8 @@
   void turned_away(Span now, RecordingId recording);
   // Those that fill over `fill` of their holders' links, or whose viewers were turned away, most wanting
   // first. `link_kb`: a holder's link; `playback_kb`: what one playback asks; `life`: how long it lasts.
-  std::vector<Wanted> wanting(Span now, const Snapshot& snapshot, double link_kb, double playback_kb, Span life, double fill,
-                              std::size_t most);
+  std::vector<Wanted> wanting(Span now, const Snapshot& snapshot, double link_kb, double playback_kb,
+                              Span life, double fill, std::size_t most);
   double asked_of(RecordingId recording) const;
   std::size_t size() const { return counters_.size(); }
 
--- a/src/catalogue/keeper.cpp
+++ b/src/catalogue/keeper.cpp
@@ -2,7 +2,8 @@
 
 namespace violettide::catalogue {
 
-Keeper::Keeper(KeeperTerms terms, BoxIndex boxes, int rungs) : terms_(terms), writer_(std::move(boxes), rungs) {}
+Keeper::Keeper(KeeperTerms terms, BoxIndex boxes, int rungs)
+    : terms_(terms), writer_(std::move(boxes), rungs) {}
 
 std::vector<KeeperAct> Keeper::handle(const KeeperEvent& event) {
   std::vector<KeeperAct> acts;
@@ -20,7 +21,8 @@
 
 void Keeper::on(const Asked& what, std::vector<KeeperAct>& acts) {
   if (waiting_.size() >= terms_.most_waiting) {
-    acts.push_back(Answer{what.ticket, Answered::busy, writer_.present()->revision, {}, "too many changes wait to be kept"});
+    acts.push_back(Answer{
+        what.ticket, Answered::busy, writer_.present()->revision, {}, "too many changes wait to be kept"});
     return;
   }
   waiting_.push_back({what, what.changes, std::nullopt, 0});
@@ -34,7 +36,8 @@
     const auto revision = what.from + i;
     if (revision <= had) continue;  // told twice
     if (revision != had + 1) {
-      acts.push_back(AskFeed{had, true, "batch " + std::to_string(revision) + " does not follow " + std::to_string(had)});
+      acts.push_back(AskFeed{
+          had, true, "batch " + std::to_string(revision) + " does not follow " + std::to_string(had)});
       return;
     }
     waiting_.push_back({std::nullopt, what.batches[i], std::nullopt, revision});
@@ -47,7 +50,8 @@
 void Keeper::on(const FedWhole& what, std::vector<KeeperAct>& acts) {
   // Guards against a feed that fell behind its own word, or was restored from long ago.
   if (what.revision < writer_.present()->revision) {
-    acts.push_back(AskFeed{writer_.present()->revision, false, "a whole catalogue older than the one held: passed over"});
+    acts.push_back(AskFeed{writer_.present()->revision, false,
+                           "a whole catalogue older than the one held: passed over"});
     return;
   }
   std::erase_if(waiting_, [&](const auto& w) { return !w.asked && &w != &waiting_.front(); });
@@ -66,7 +70,8 @@
 bool Keeper::begin(Waiting& waiting, std::vector<KeeperAct>& acts) {
   const auto present = writer_.present()->revision;
   const auto refuse = [&](Answered how, Bad bad, std::string cause) {
-    if (waiting.asked) acts.push_back(Answer{waiting.asked->ticket, how, present, std::move(bad), std::move(cause)});
+    if (waiting.asked)
+      acts.push_back(Answer{waiting.asked->ticket, how, present, std::move(bad), std::move(cause)});
     return false;
   };
   if (waiting.asked && waiting.asked->if_revision && *waiting.asked->if_revision != present)
@@ -78,21 +83,26 @@
     for (const auto& recording : waiting.whole->recordings) named[recording.title] = &recording;
     writer_.present()->each([&](const std::string& title, const Entry& entry) {
       const auto found = named.find(title);
-      if (found == named.end()) waiting.changes.push_back(RemoveRecording{title});
-      else if (writer_.present()->recording_of(title, entry) == *found->second) named.erase(found);
+      if (found == named.end())
+        waiting.changes.push_back(RemoveRecording{title});
+      else if (writer_.present()->recording_of(title, entry) == *found->second)
+        named.erase(found);
     });
     for (const auto& [title, recording] : named) waiting.changes.push_back(PutRecording{*recording});
   }
   auto result = writer_.apply(waiting.changes);
   if (auto* bad = std::get_if<Bad>(&result)) {
     if (waiting.asked) return refuse(Answered::bad, *bad, bad->cause);
-    acts.push_back(AskFeed{present, !waiting.whole, "change " + std::to_string(bad->change) + ", " + bad->field + ": " + bad->cause});
+    acts.push_back(AskFeed{present, !waiting.whole,
+                           "change " + std::to_string(bad->change) + ", " + bad->field + ": " + bad->cause});
     return false;
   }
   auto& applied = std::get<Applied>(result);
   if (shrinks(applied)) {
-    const auto left = writer_.present()->sums.locations - std::min(writer_.present()->sums.locations, applied.locations_removed);
-    const auto cause = "leaves " + std::to_string(left) + " of " + std::to_string(writer_.present()->sums.locations) + " locations: confirm it";
+    const auto left = writer_.present()->sums.locations -
+                      std::min(writer_.present()->sums.locations, applied.locations_removed);
+    const auto cause = "leaves " + std::to_string(left) + " of " +
+                       std::to_string(writer_.present()->sums.locations) + " locations: confirm it";
     if (waiting.asked && !waiting.asked->confirmed) return refuse(Answered::held, {}, cause);
     // A feed confirms by saying the same again: nobody else can be asked.
     if (!waiting.asked && held_ != waiting.expected) {
@@ -128,14 +138,19 @@
   applying_.reset();
   if (what.failed) {
     // Nothing of it is in force; those behind it meet the same disk and hear so themselves.
-    if (done.asked) acts.push_back(Answer{done.asked->ticket, Answered::not_kept, writer_.present()->revision, {}, *what.failed});
-    else acts.push_back(AskFeed{writer_.present()->revision, false, *what.failed});
+    if (done.asked)
+      acts.push_back(
+          Answer{done.asked->ticket, Answered::not_kept, writer_.present()->revision, {}, *what.failed});
+    else
+      acts.push_back(AskFeed{writer_.present()->revision, false, *what.failed});
     return next(acts);
   }
   Changed changed{applied.changed, done.whole.has_value()};
   writer_.commit(std::move(applied));
-  if (done.whole) log_.clear();  // what came before it can't be told apart any more
-  else log_.emplace_back(what.revision, std::move(done.changes));
+  if (done.whole)
+    log_.clear();  // what came before it can't be told apart any more
+  else
+    log_.emplace_back(what.revision, std::move(done.changes));
   while (log_.size() > terms_.batches_kept) log_.pop_front();
   acts.push_back(std::move(changed));
   if (done.asked) acts.push_back(Answer{done.asked->ticket, Answered::taken, what.revision, {}, ""});
@@ -150,7 +165,8 @@
   changes.reserve(recordings.size());
   for (const auto& recording : recordings) changes.push_back(PutRecording{recording});
   auto result = writer_.apply(changes);
-  if (const auto* bad = std::get_if<Bad>(&result)) return "recording " + std::to_string(bad->change) + ", " + bad->field + ": " + bad->cause;
+  if (const auto* bad = std::get_if<Bad>(&result))
+    return "recording " + std::to_string(bad->change) + ", " + bad->field + ": " + bad->cause;
   writer_.commit(std::get<Applied>(std::move(result)));
   writer_.at_revision(revision);
   log_.clear();
@@ -159,16 +175,20 @@
 
 std::optional<std::string> Keeper::restore(Revision revision, const std::vector<Change>& changes) {
   const auto present = writer_.present()->revision;
-  if (revision != present + 1) return "batch " + std::to_string(revision) + " does not follow revision " + std::to_string(present);
+  if (revision != present + 1)
+    return "batch " + std::to_string(revision) + " does not follow revision " + std::to_string(present);
   auto result = writer_.apply(changes);
-  if (const auto* bad = std::get_if<Bad>(&result)) return "batch " + std::to_string(revision) + ", change " + std::to_string(bad->change) + ", " + bad->field + ": " + bad->cause;
+  if (const auto* bad = std::get_if<Bad>(&result))
+    return "batch " + std::to_string(revision) + ", change " + std::to_string(bad->change) + ", " +
+           bad->field + ": " + bad->cause;
   writer_.commit(std::get<Applied>(std::move(result)));
   log_.emplace_back(revision, changes);
   while (log_.size() > terms_.batches_kept) log_.pop_front();
   return std::nullopt;
 }
 
-std::optional<std::vector<std::pair<Revision, const std::vector<Change>*>>> Keeper::after(Revision revision, std::size_t most) const {
+std::optional<std::vector<std::pair<Revision, const std::vector<Change>*>>> Keeper::after(
+    Revision revision, std::size_t most) const {
   const auto present = writer_.present()->revision;
   std::vector<std::pair<Revision, const std::vector<Change>*>> batches;
   if (revision == present) return batches;
--- a/src/catalogue/keeper.h
+++ b/src/catalogue/keeper.h
@@ -71,7 +71,8 @@
   std::optional<std::string> restore(Revision revision, const std::vector<Recording>& recordings);
   std::optional<std::string> restore(Revision revision, const std::vector<Change>& changes);
   // Batches after a revision, for others' feeds; absent: it no longer reaches back so far.
-  std::optional<std::vector<std::pair<Revision, const std::vector<Change>*>>> after(Revision revision, std::size_t most) const;
+  std::optional<std::vector<std::pair<Revision, const std::vector<Change>*>>> after(Revision revision,
+                                                                                    std::size_t most) const;
 
  private:
   struct Waiting {
--- a/src/cataloguewire/json.cpp
+++ b/src/cataloguewire/json.cpp
@@ -51,8 +51,10 @@
     auto part = context[i];
     if (part.size() > 2 && part.front() == '[') part = part.substr(1, part.size() - 2);
     const bool index = !part.empty() && part.find_first_not_of("0123456789") == std::string::npos;
-    if (index) place += "[" + part + "]";
-    else place += (place.empty() ? "" : ".") + part;
+    if (index)
+      place += "[" + part + "]";
+    else
+      place += (place.empty() ? "" : ".") + part;
   }
   return place.empty() ? "body" : place;
 }
@@ -77,10 +79,13 @@
 }
 
 Rendition rendition_of(const Json& json) {
-  return {json.at("name"), json.at("rung"), json.value("codec", ""), json.value("kb_per_s", 0.0), std::chrono::milliseconds(json.value("length_ms", std::int64_t{0}))};
+  return {json.at("name"), json.at("rung"), json.value("codec", ""), json.value("kb_per_s", 0.0),
+          std::chrono::milliseconds(json.value("length_ms", std::int64_t{0}))};
 }
 Location location_of(const Json& json) {
-  return {json.at("box"), json.value("state", "here") == "here" ? LocationState::here : LocationState::leaving, json.value("since_ms", std::int64_t{0})};
+  return {json.at("box"),
+          json.value("state", "here") == "here" ? LocationState::here : LocationState::leaving,
+          json.value("since_ms", std::int64_t{0})};
 }
 Recording recording_of(const Json& json) {
   Recording recording{json.at("title"), {}, {}};
@@ -99,10 +104,16 @@
 }
 
 Json json_of(const Rendition& one) {
-  return {{"name", one.name}, {"rung", one.rung}, {"codec", one.codec}, {"kb_per_s", one.kb_per_s}, {"length_ms", one.length.count() / 1000}};
+  return {{"name", one.name},
+          {"rung", one.rung},
+          {"codec", one.codec},
+          {"kb_per_s", one.kb_per_s},
+          {"length_ms", one.length.count() / 1000}};
 }
 Json json_of(const Location& one) {
-  return {{"box", one.box}, {"state", one.state == LocationState::here ? "here" : "leaving"}, {"since_ms", one.since_ms}};
+  return {{"box", one.box},
+          {"state", one.state == LocationState::here ? "here" : "leaving"},
+          {"since_ms", one.since_ms}};
 }
 Json json_of(const Recording& recording) {
   Json json{{"title", recording.title}, {"renditions", Json::array()}, {"locations", Json::array()}};
@@ -113,10 +124,18 @@
 struct Said {
   Json operator()(const PutRecording& c) const { return {{"put", json_of(c.recording)}}; }
   Json operator()(const RemoveRecording& c) const { return {{"remove", c.title}}; }
-  Json operator()(const PutRendition& c) const { return {{"put_rendition", {{"title", c.title}, {"rendition", json_of(c.rendition)}}}}; }
-  Json operator()(const RemoveRendition& c) const { return {{"remove_rendition", {{"title", c.title}, {"name", c.name}}}}; }
-  Json operator()(const PutLocation& c) const { return {{"put_location", {{"title", c.title}, {"location", json_of(c.location)}}}}; }
-  Json operator()(const RemoveLocation& c) const { return {{"remove_location", {{"title", c.title}, {"box", c.box}}}}; }
+  Json operator()(const PutRendition& c) const {
+    return {{"put_rendition", {{"title", c.title}, {"rendition", json_of(c.rendition)}}}};
+  }
+  Json operator()(const RemoveRendition& c) const {
+    return {{"remove_rendition", {{"title", c.title}, {"name", c.name}}}};
+  }
+  Json operator()(const PutLocation& c) const {
+    return {{"put_location", {{"title", c.title}, {"location", json_of(c.location)}}}};
+  }
+  Json operator()(const RemoveLocation& c) const {
+    return {{"remove_location", {{"title", c.title}, {"box", c.box}}}};
+  }
 };
 Json json_of(const std::vector<Change>& changes) {
   Json list = Json::array();
@@ -149,7 +168,8 @@
 std::string text_of(const Recording& recording) { return dumped(json_of(recording)); }
 std::string text_of(const std::vector<Change>& changes) { return dumped(json_of(changes)); }
 
-std::string feed_text(Revision from, const std::vector<std::pair<Revision, const std::vector<Change>*>>& batches) {
+std::string feed_text(Revision from,
+                      const std::vector<std::pair<Revision, const std::vector<Change>*>>& batches) {
   Json list = Json::array();
   for (const auto& [revision, changes] : batches) list.push_back(json_of(*changes));
   return dumped({{"from", from}, {"batches", std::move(list)}});
@@ -157,7 +177,9 @@
 
 std::string whole_text(const Snapshot& snapshot) {
   Json list = Json::array();
-  snapshot.each([&](const std::string& title, const Entry& entry) { list.push_back(json_of(snapshot.recording_of(title, entry))); });
+  snapshot.each([&](const std::string& title, const Entry& entry) {
+    list.push_back(json_of(snapshot.recording_of(title, entry)));
+  });
   return dumped({{"revision", snapshot.revision}, {"recordings", std::move(list)}});
 }
 
@@ -166,7 +188,9 @@
   if (auto* bad = std::get_if<BadJson>(&json)) return *bad;
   const auto& said = std::get<Json>(json);
   if (!said.is_object()) return BadJson{"body", "expected an object"};
-  const auto whole_number = [&](const char* key) { return said.contains(key) && said[key].is_number_unsigned(); };
+  const auto whole_number = [&](const char* key) {
+    return said.contains(key) && said[key].is_number_unsigned();
+  };
   valijson::Validator validator;
   if (whole_number("revision") && said.contains("recordings") && said["recordings"].is_array()) {
     FedWhole whole{said["revision"], {}};
--- a/src/cataloguewire/json.h
+++ b/src/cataloguewire/json.h
@@ -18,7 +18,9 @@
 
 // A feed's answer: batches that follow a revision, or the whole.
 std::variant<catalogue::Fed, catalogue::FedWhole, BadJson> read_feed(std::string_view text);
-std::string feed_text(catalogue::Revision from, const std::vector<std::pair<catalogue::Revision, const std::vector<catalogue::Change>*>>& batches);
+std::string feed_text(
+    catalogue::Revision from,
+    const std::vector<std::pair<catalogue::Revision, const std::vector<catalogue::Change>*>>& batches);
 std::string whole_text(const catalogue::Snapshot& snapshot);
 
 }  // namespace violettide::cataloguewire
--- a/src/cataloguewire/resource.cpp
+++ b/src/cataloguewire/resource.cpp
@@ -20,7 +20,9 @@
 
 Reply told(int status, Revision revision, Json body) {
   body["revision"] = revision;
-  return {status, {{"Content-Type", "application/json"}, {"ETag", quoted(revision)}}, body.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n"};
+  return {status,
+          {{"Content-Type", "application/json"}, {"ETag", quoted(revision)}},
+          body.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n"};
 }
 Reply refused(int status, Revision revision, const std::string& place, const std::string& cause) {
   return told(status, revision, {{"error", {{"place", place}, {"cause", cause}}}});
@@ -40,7 +42,8 @@
   while (!query.empty()) {
     const auto end = std::min(query.find('&'), query.size());
     const auto one = query.substr(0, end);
-    if (one.starts_with(name) && one.size() > name.size() && one[name.size()] == '=') return http::percent_decoded(one.substr(name.size() + 1));
+    if (one.starts_with(name) && one.size() > name.size() && one[name.size()] == '=')
+      return http::percent_decoded(one.substr(name.size() + 1));
     query.remove_prefix(std::min(query.size(), end + 1));
   }
   return std::nullopt;
@@ -73,17 +76,20 @@
   asked.confirmed = argument(target, "confirm") == "true";
   if (const auto* match = http::find(request.fields, "If-Match"); match && *match != "*") {
     const bool is_quoted = match->size() > 2 && match->front() == '"' && match->back() == '"';
-    const auto revision = is_quoted ? number(std::string_view(*match).substr(1, match->size() - 2)) : std::nullopt;
+    const auto revision =
+        is_quoted ? number(std::string_view(*match).substr(1, match->size() - 2)) : std::nullopt;
     if (!revision) return refused(400, present, "If-Match", "expected a revision in quotes, or *");
     asked.if_revision = *revision;
   }
   if (parts.size() == 1) {
     if (method != "GET") return only("GET");
-    return told(200, present, {{"recordings", snapshot.sums.recordings}, {"locations", snapshot.sums.locations}});
+    return told(200, present,
+                {{"recordings", snapshot.sums.recordings}, {"locations", snapshot.sums.locations}});
   }
   if (parts.size() == 2 && parts[1] == "whole") {
     if (method != "GET") return only("GET");
-    return Reply{200, {{"Content-Type", "application/json"}, {"ETag", quoted(present)}}, whole_text(snapshot)};
+    return Reply{
+        200, {{"Content-Type", "application/json"}, {"ETag", quoted(present)}}, whole_text(snapshot)};
   }
   if (parts.size() == 2 && parts[1] == "wanting") {
     if (method != "GET") return only("GET");
@@ -100,7 +106,8 @@
   if (parts.size() == 2 && parts[1] == "changes") {
     if (method != "POST") return only("POST");
     auto changes = read_changes(request.body);
-    if (const auto* bad = std::get_if<BadJson>(&changes)) return refused(400, present, bad->place, bad->cause);
+    if (const auto* bad = std::get_if<BadJson>(&changes))
+      return refused(400, present, bad->place, bad->cause);
     asked.changes = std::get<std::vector<Change>>(std::move(changes));
     return asked;
   }
@@ -108,24 +115,29 @@
   const auto& title = parts[2];
   // A body that stands for a part of a change is checked as that change.
   const auto change = [&](const char* kind, Json whole) -> Meaning {
-    auto changes = read_changes(Json{{"changes", {{{kind, std::move(whole)}}}}}.dump(-1, ' ', false, Json::error_handler_t::replace));
-    if (const auto* bad = std::get_if<BadJson>(&changes)) return refused(400, present, bad->place, bad->cause);
+    auto changes = read_changes(
+        Json{{"changes", {{{kind, std::move(whole)}}}}}.dump(-1, ' ', false, Json::error_handler_t::replace));
+    if (const auto* bad = std::get_if<BadJson>(&changes))
+      return refused(400, present, bad->place, bad->cause);
     asked.changes = std::get<std::vector<Change>>(std::move(changes));
     return asked;
   };
   Json body = Json::object();
   if (method == "PUT" && !request.body.empty()) {
     body = Json::parse(request.body, nullptr, false);
-    if (body.is_discarded() || !body.is_object()) return refused(400, present, "body", "expected a JSON object");
+    if (body.is_discarded() || !body.is_object())
+      return refused(400, present, "body", "expected a JSON object");
   }
   if (parts.size() == 3) {
     if (method == "GET") {
       const auto recording = snapshot.recording(title);
       if (!recording) return refused(404, present, "title", "no recording '" + title + "'");
-      return Reply{200, {{"Content-Type", "application/json"}, {"ETag", quoted(present)}}, text_of(*recording) + "\n"};
+      return Reply{
+          200, {{"Content-Type", "application/json"}, {"ETag", quoted(present)}}, text_of(*recording) + "\n"};
     }
     if (method == "PUT") {
-      if (body.contains("title") && body["title"] != title) return refused(400, present, "title", "not the one in the path");
+      if (body.contains("title") && body["title"] != title)
+        return refused(400, present, "title", "not the one in the path");
       body["title"] = title;
       return change("put", std::move(body));
     }
@@ -137,9 +149,11 @@
     const char* key = location ? "box" : "name";
     if (method == "PUT") {
       body[key] = parts[4];
-      return change(location ? "put_location" : "put_rendition", {{"title", title}, {location ? "location" : "rendition", std::move(body)}});
+      return change(location ? "put_location" : "put_rendition",
+                    {{"title", title}, {location ? "location" : "rendition", std::move(body)}});
     }
-    if (method == "DELETE") return change(location ? "remove_location" : "remove_rendition", {{"title", title}, {key, parts[4]}});
+    if (method == "DELETE")
+      return change(location ? "remove_location" : "remove_rendition", {{"title", title}, {key, parts[4]}});
     return only("PUT, DELETE");
   }
   return nowhere();
@@ -147,11 +161,18 @@
 
 Reply reply_to(const Answer& answer) {
   switch (answer.how) {
-    case Answered::taken: return told(200, answer.revision, Json::object());
-    case Answered::stale: return refused(412, answer.revision, "If-Match", answer.cause);
-    case Answered::bad: return refused(422, answer.revision, "changes[" + std::to_string(answer.bad.change) + "]." + answer.bad.field, answer.bad.cause);
-    case Answered::held: return refused(409, answer.revision, "changes", answer.cause + " with ?confirm=true");
-    case Answered::not_kept: return refused(507, answer.revision, "disk", answer.cause);
+    case Answered::taken:
+      return told(200, answer.revision, Json::object());
+    case Answered::stale:
+      return refused(412, answer.revision, "If-Match", answer.cause);
+    case Answered::bad:
+      return refused(422, answer.revision,
+                     "changes[" + std::to_string(answer.bad.change) + "]." + answer.bad.field,
+                     answer.bad.cause);
+    case Answered::held:
+      return refused(409, answer.revision, "changes", answer.cause + " with ?confirm=true");
+    case Answered::not_kept:
+      return refused(507, answer.revision, "disk", answer.cause);
     case Answered::busy: {
       auto reply = refused(503, answer.revision, "queue", answer.cause);
       reply.fields.emplace_back("Retry-After", "1");
@@ -167,7 +188,8 @@
   const auto batches = keeper.after(after, feed_most);
   // The log no longer reaches back, or never came so far: take the whole.
   if (!batches) return refused(410, present, "after", "take /catalogue/whole and go on from there");
-  return Reply{200, {{"Content-Type", "application/json"}, {"ETag", quoted(present)}}, feed_text(after + 1, *batches)};
+  return Reply{
+      200, {{"Content-Type", "application/json"}, {"ETag", quoted(present)}}, feed_text(after + 1, *batches)};
 }
 
 Reply empty_feed(Revision present) {
@@ -177,8 +199,12 @@
 Reply wanting_reply(const Snapshot& snapshot, const std::vector<Wanted>& wanting) {
   Json list = Json::array();
   for (const auto& one : wanting) {
-    list.push_back({{"title", snapshot.title(one.recording)}, {"asked", one.asked}, {"doubt", one.doubt},
-                    {"turned_away", one.turned_away}, {"holders", one.holders}, {"fill", one.fill}});
+    list.push_back({{"title", snapshot.title(one.recording)},
+                    {"asked", one.asked},
+                    {"doubt", one.doubt},
+                    {"turned_away", one.turned_away},
+                    {"holders", one.holders},
+                    {"fill", one.fill}});
   }
   return told(200, snapshot.revision, {{"wanting", std::move(list)}});
 }
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -11,7 +11,7 @@
 
 struct ServeWords {
   std::string settings, name, hall, keep_in, log, ports_to;
-  std::optional<std::uint16_t> port, list_port;
+  std::optional<std::uint16_t> port, list_port, control_port, feed_port;
   std::optional<int> fronts;
   std::uint64_t seed = 1;
 };
@@ -37,4 +37,16 @@
 int run_audit(const AuditWords& words);
 int run_check(const std::string& file);
 
+struct CatalogueWords {
+  std::string file, other, title, address = "127.0.0.1";
+  std::uint16_t port = 0;
+  std::size_t batch = 1000;
+  bool confirm = false;
+};
+int run_catalogue_check(const CatalogueWords& words);
+int run_catalogue_load(const CatalogueWords& words);
+int run_catalogue_export(const CatalogueWords& words);
+int run_catalogue_show(const CatalogueWords& words);
+int run_catalogue_diff(const CatalogueWords& words);
+
 }  // namespace violettide::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -16,6 +16,10 @@
   serving->add_option("--hall", serve.hall, "its hall, in place of the settings'");
   serving->add_option("--port", serve.port, "listen here, in place of the settings'");
   serving->add_option("--list-port", serve.list_port, "the box list's port, in place of the settings'");
+  serving->add_option("--control-port", serve.control_port,
+                      "the catalogue's resource, in place of the settings'");
+  serving->add_option("--feed-port", serve.feed_port,
+                      "the catalogue feed to follow, in place of the settings'");
   serving->add_option("--fronts", serve.fronts,
                       "how many managers share the boxes, in place of the settings'");
   serving->add_option("--keep-in", serve.keep_in, "folder of what survives a restart");
@@ -59,6 +63,34 @@
   checking->add_option("file", checked, "the script")->required();
   checking->callback([&] { result = run_check(checked); });
 
+  CatalogueWords catalogue;
+  auto* cataloguing = app.add_subcommand("catalogue", "recordings, renditions and locations");
+  cataloguing->require_subcommand(1);
+  const auto of_manager = [&](CLI::App* command) {
+    command->add_option("--port", catalogue.port, "a manager's control port")->required();
+    command->add_option("--address", catalogue.address, "its address");
+  };
+  auto* cat_check = cataloguing->add_subcommand(
+      "check", "read a file, a recording a line, plain or zstd, and tell its mistakes");
+  cat_check->add_option("file", catalogue.file)->required();
+  cat_check->callback([&] { result = run_catalogue_check(catalogue); });
+  auto* cat_load = cataloguing->add_subcommand("load", "put a file's recordings, batch by batch");
+  cat_load->add_option("file", catalogue.file)->required();
+  cat_load->add_option("--batch", catalogue.batch, "recordings in a batch")->check(CLI::Range(1, 100000));
+  of_manager(cat_load);
+  cat_load->callback([&] { result = run_catalogue_load(catalogue); });
+  auto* cat_export = cataloguing->add_subcommand("export", "write a manager's catalogue, a recording a line");
+  of_manager(cat_export);
+  cat_export->callback([&] { result = run_catalogue_export(catalogue); });
+  auto* cat_show = cataloguing->add_subcommand("show", "one recording, or the sums");
+  cat_show->add_option("title", catalogue.title);
+  of_manager(cat_show);
+  cat_show->callback([&] { result = run_catalogue_show(catalogue); });
+  auto* cat_diff = cataloguing->add_subcommand("diff", "what a second file says otherwise than a first");
+  cat_diff->add_option("file", catalogue.file)->required();
+  cat_diff->add_option("other", catalogue.other)->required();
+  cat_diff->callback([&] { result = run_catalogue_diff(catalogue); });
+
   CLI11_PARSE(app, count, words);
   return result;
 }
--- a/src/cli/services.cpp
+++ b/src/cli/services.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "cataloguestore/store.h"
 #include "cli/commands.h"
 #include "manager/manager.h"
 #include "runtime/runtime.h"
@@ -90,6 +91,8 @@
     std::cerr << "violettide: " << failed.what << '\n';
   } catch (const trace::Failed& failed) {
     std::cerr << "violettide: " << failed.what << '\n';
+  } catch (const cataloguestore::Unusable& failed) {
+    std::cerr << "violettide: " << failed.what << '\n';
   } catch (const spdlog::spdlog_ex& failed) {
     std::cerr << "violettide: " << failed.what() << '\n';
   }
@@ -125,6 +128,8 @@
   if (!words.name.empty()) front.name = words.name;
   if (words.list_port) front.list_port = *words.list_port;
   if (words.port) deployment.listen_port = *words.port;
+  if (words.control_port) deployment.control_port = *words.control_port;
+  if (words.feed_port) front.feed_port = *words.feed_port;
   if (words.fronts) front.site.fronts = *words.fronts;
   if (!words.keep_in.empty()) deployment.keep_in = words.keep_in;
   if (!words.hall.empty()) {
@@ -140,13 +145,31 @@
                         : settings::file_text(deployment.keep_in + "/boxes.json").value_or("");
   return guarded([&] {
     const auto who = front.name;
+    const auto log = log_to(words.log, who);
     manager::Manager manager(front, words.seed, kept, nullptr);
-    runtime::Loop loop(manager, {{deployment.listen_address, deployment.listen_port}}, log_to(words.log, who),
-                       deployment.keep_in);
-    write_ports(words.ports_to, {loop.port(0)});
-    if (words.log.empty())
+    std::vector<runtime::Listening> doors{{deployment.listen_address, deployment.listen_port}};
+    std::unique_ptr<cataloguestore::Store> store;
+    if (front.catalogued) {
+      doors.push_back({deployment.control_address, deployment.control_port});
+      if (!deployment.keep_in.empty()) {
+        store = std::make_unique<cataloguestore::Store>(deployment.keep_in);
+        const auto found = store->restore_to(manager.catalogue());
+        log(Span(0), Say{"catalogue_restored",
+                         {{"revision", static_cast<std::int64_t>(found.revision)}, {"damage", found.told}}});
+        if (found.damaged) std::cerr << "violettide: the catalogue was damaged: " << found.told << '\n';
+      }
+    }
+    runtime::Loop loop(manager, doors, log, deployment.keep_in, store.get());
+    std::vector<std::uint16_t> ports;
+    for (int door = 0; door < static_cast<int>(doors.size()); ++door) ports.push_back(loop.port(door));
+    write_ports(words.ports_to, ports);
+    if (words.log.empty()) {
       std::cerr << "violettide: " << who << " listens at http://" << deployment.listen_address << ":"
-                << loop.port(0) << "/\n";
+                << ports[0] << "/\n";
+      if (ports.size() > 1)
+        std::cerr << "violettide: its catalogue at http://" << deployment.control_address << ":" << ports[1]
+                  << "/catalogue\n";
+    }
     loop.run();
     return 0;
   });
--- /dev/null
+++ b/src/manager/inside.h
@@ -0,0 +1,74 @@
+// What the manager keeps of each viewer, box and playback; for its own files only.
+#pragma once
+
+#include "manager/manager.h"
+
+namespace violettide::manager {
+
+struct Manager::ViewerLink {
+  Link link = 0;
+  http::RequestReader reader;
+  http::Request request;
+  hints::ReadCmcd hints;
+  MediaPath path;
+  std::string trace;  // W3C trace context, passed on as it came
+  std::optional<PlaybackId> playback;
+  Link box = 0;  // the link its object comes by
+  bool busy = false, waits = false, head_sent = false, chunked = false;
+  bool close_after = false, half_closed = false, reading_held = false;
+  bool retried = false;  // on another connection, after a kept one had died
+  Span asked_at{0};
+  std::size_t unsent = 0;
+  Bells::Handle stuck;
+};
+
+struct Manager::BoxLink {
+  Link link = 0;
+  ServerId server = 0;
+  Use use = Use::idle;
+  bool connected = false, kept = false;  // kept: it served another request before
+  bool head_seen = false, keep_alive = true, held = false, held_since_measure = false;
+  std::string waiting;  // the request, until it is connected
+  http::ResponseReader reader;
+  std::optional<PlaybackId> playback;
+  Link viewer = 0;
+  Bells::Handle limit, connect;
+  Span asked_at{0}, head_at{0}, measured_at{0};
+  int rung = 0, status = 0;
+  double object_rate = 0;  // bytes a second that deliver it in its own duration
+  std::uint64_t bytes = 0, measured_bytes = 0;
+  std::string body;  // of a list
+  std::string cmsd;  // CMSD-Dynamic as the box said it, empty where malformed
+};
+
+struct Manager::Playback {
+  PlaybackId id = 0;
+  std::string key;
+  int plan = 0;
+  std::string title;
+  std::optional<catalogue::RecordingId> recording;
+  TitleId title_id = 0;
+  bool playing = false, tied_to_link = false;
+  ServerId server = 0;
+  int rung = 0;
+  int tries = 0;
+  Span asked_at{0};
+  std::vector<Link> askers;  // viewers' links that wait for the set-up
+  Link try_link = 0;
+  bool last_late = false;
+  std::size_t objects_out = 0;
+  Span buffered{0};
+  std::string sid;
+  Bells::Handle abandon, silence;
+};
+
+// A connection of an operator, a tool or another front's feed.
+struct Manager::Control {
+  Link link = 0;
+  http::RequestReader reader;
+  bool busy = false, close_after = false;
+  std::optional<catalogue::Revision> feed_after;  // waits for news behind it
+  Bells::Handle wait;
+};
+
+}  // namespace violettide::manager
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -1,8 +1,8 @@
-#include "manager/manager.h"
-
 #include <algorithm>
 #include <cmath>
 
+#include "manager/inside.h"
+
 namespace violettide::manager {
 
 namespace {
@@ -60,69 +60,17 @@
   return std::make_unique<ModuleDecider>(terms, seed);
 }
 
-struct Manager::ViewerLink {
-  Link link = 0;
-  http::RequestReader reader;
-  http::Request request;
-  hints::ReadCmcd hints;
-  MediaPath path;
-  std::string trace;  // W3C trace context, passed on as it came
-  std::optional<PlaybackId> playback;
-  Link box = 0;  // the link its object comes by
-  bool busy = false, waits = false, head_sent = false, chunked = false;
-  bool close_after = false, half_closed = false, reading_held = false;
-  bool retried = false;  // on another connection, after a kept one had died
-  Span asked_at{0};
-  std::size_t unsent = 0;
-  Bells::Handle stuck;
-};
-
-struct Manager::BoxLink {
-  Link link = 0;
-  ServerId server = 0;
-  Use use = Use::idle;
-  bool connected = false, kept = false;  // kept: it served another request before
-  bool head_seen = false, keep_alive = true, held = false, held_since_measure = false;
-  std::string waiting;  // the request, until it is connected
-  http::ResponseReader reader;
-  std::optional<PlaybackId> playback;
-  Link viewer = 0;
-  Bells::Handle limit, connect;
-  Span asked_at{0}, head_at{0}, measured_at{0};
-  int rung = 0, status = 0;
-  double object_rate = 0;  // bytes a second that deliver it in its own duration
-  std::uint64_t bytes = 0, measured_bytes = 0;
-  std::string body;  // of a list
-  std::string cmsd;  // CMSD-Dynamic as the box said it, empty where malformed
-};
-
-struct Manager::Playback {
-  PlaybackId id = 0;
-  std::string key;
-  int plan = 0;
-  std::string title;
-  TitleId title_id = 0;
-  bool playing = false, tied_to_link = false;
-  ServerId server = 0;
-  int rung = 0;
-  int tries = 0;
-  Span asked_at{0};
-  std::vector<Link> askers;  // viewers' links that wait for the set-up
-  Link try_link = 0;
-  bool last_late = false;
-  std::size_t objects_out = 0;
-  Span buffered{0};
-  std::string sid;
-  Bells::Handle abandon, silence;
-};
-
 Manager::Manager(FrontTerms terms, std::uint64_t seed, std::string cached_list,
                  std::unique_ptr<Decider> decider)
     : terms_(std::move(terms)),
       decider_(decider ? std::move(decider) : module_decider(terms_.site, seed)),
       list_(terms_.halls),
       weighing_(std::max<Span>(terms_.site.note_lag, terms_.object_length), terms_.site.rung_kb),
-      cached_list_(std::move(cached_list)) {}
+      cached_list_(std::move(cached_list)),
+      keeper_(
+          terms_.keeper, [this](std::string_view name) { return list_.index(name); },
+          static_cast<int>(terms_.site.rung_kb.size())),
+      demand_(terms_.demand_kept, terms_.demand_half_life) {}
 Manager::~Manager() = default;
 
 Held Manager::held() const { return {viewers_.size(), boxes_.size(), playbacks_.size(), bells_.armed()}; }
@@ -160,6 +108,7 @@
   began_ = true;
   if (!cached_list_.empty()) take_list(list_.take_cached(now_, cached_list_), "kept");
   arm(Span(0), Ring::list, 0);
+  if (terms_.catalogued && terms_.feed_port != 0) arm(Span(0), Ring::feed, 0);
   arm(terms_.object_length, Ring::weigh, 0);
 }
 
@@ -169,6 +118,12 @@
       return tell(TimerRang{bell.of});
     case Ring::list:
       return poll_list();
+    case Ring::feed:
+      return poll_feed();
+    case Ring::feed_wait:
+      if (const auto found = controls_.find(bell.of); found != controls_.end() && found->second->feed_after)
+        control_reply(*found->second, cataloguewire::empty_feed(keeper_.present()->revision));
+      return;
     case Ring::weigh:
       arm(terms_.object_length, Ring::weigh, 0);
       return heed(weighing_.handle(now_, hints::TimePassed{}), 0);
@@ -209,6 +164,12 @@
 // ---- viewers ----
 
 void Manager::on(const Accepted& what) {
+  if (what.door != 0) {
+    auto control = std::make_unique<Control>();
+    control->link = what.link;
+    controls_.emplace(what.link, std::move(control));
+    return;
+  }
   // Guards against more connections than this front has memory for; those it has keep what they hold.
   if (viewers_.size() >= terms_.viewer_links || stopping_) {
     acts_->push_back(Send{what.link, http::head_text(503, {{"Retry-After", "1"}}, 0, false)});
@@ -224,6 +185,10 @@
 
 void Manager::on(const Received& what) {
   if (what.link >= first_accepted) {
+    if (const auto control = controls_.find(what.link); control != controls_.end()) {
+      control->second->reader.push(what.bytes);
+      return control_requests(*control->second);
+    }
     const auto found = viewers_.find(what.link);
     if (found == viewers_.end()) return;  // hung up on already
     auto& viewer = *found->second;
@@ -337,7 +302,26 @@
   playback.asked_at = now_;
   const auto& viewer = *viewers_.at(playback.askers.front());
   const auto& plan = terms_.site.plans[playback.plan];
-  const auto holders = holders_of(terms_, playback.title);
+  Holders holders;
+  violettide::Holders listed;
+  int top = plan.top;
+  if (terms_.catalogued) {
+    const auto id = keeper_.present()->id(playback.title);
+    const auto* entry = id ? keeper_.present()->find(*id) : nullptr;
+    const auto best = entry ? entry->rung_within(plan.floor, plan.top) : std::nullopt;
+    if (!best) {
+      return settle(playback, 404,
+                    entry ? "no rendition that this plan may play\n" : "no recording of that title\n", {});
+    }
+    top = *best;
+    holders.length = entry->length();
+    listed = entry->holders;
+    playback.recording = *id;
+    asking_[*id].insert(playback.id);
+    demand_.asked(now_, *id);
+  } else {
+    holders = holders_of(terms_, playback.title);
+  }
   // One asked anew after a loss has what is left of its viewer's time, not a time of its own.
   const Span abandon = terms_.plans[playback.plan].abandon - (now_ - viewer.asked_at);
   Request request;
@@ -348,7 +332,8 @@
   request.length = holders.length;
   request.first_cell = holders.first_cell;
   request.holders = holders.cells;
-  request.top = weighing_.top_for(viewer.hints.hints, plan.floor, plan.top, plan.rate_scale);
+  request.listed = listed;
+  request.top = weighing_.top_for(viewer.hints.hints, plan.floor, top, plan.rate_scale);
   playback.rung = plan.floor;
   playback.abandon = arm(part_of(abandon, guard_part), Ring::abandon, playback.id);
   say("playback_asked", {{"playback", said_id(playback.id)},
@@ -438,6 +423,7 @@
 
 void Manager::on(const HalfClosed& what) {
   if (what.link < first_accepted) return on(Ended{what.link, Ending::finished});
+  if (controls_.contains(what.link)) return control_gone(what.link);
   const auto found = viewers_.find(what.link);
   if (found == viewers_.end()) return;
   // A peer that closed and one that only writes no more look alike: what it asked is answered still.
@@ -495,15 +481,26 @@
 
 // ---- playbacks ----
 
+// The rung in force or the one asked for, the lower, never under the floor, and one that exists.
 int Manager::rung_for(const Playback& playback, int asked) const {
   const int floor = terms_.site.plans[playback.plan].floor;
-  return std::max(floor, std::min(playback.rung, asked));
+  const int rung = std::max(floor, std::min(playback.rung, asked));
+  const auto* entry = entry_of(playback);
+  if (!entry) return rung;
+  if (const auto lower = entry->rung_within(floor, rung)) return *lower;
+  for (int above = rung + 1; above < static_cast<int>(terms_.site.rung_kb.size()); ++above) {
+    if (entry->rung_within(above, above)) return above;
+  }
+  return rung;
 }
 
+// The true rate where the catalogue tells it, the ladder's elsewhere.
 double Manager::rate_kb(const Playback& playback, int rung) const {
   const auto& rates = terms_.site.rung_kb;
-  const auto at = std::clamp<std::size_t>(static_cast<std::size_t>(std::max(0, rung)), 0, rates.size() - 1);
-  return rates[at] * terms_.site.plans[playback.plan].rate_scale;
+  const auto at = std::min(static_cast<std::size_t>(std::max(0, rung)), rates.size() - 1);
+  const auto* entry = entry_of(playback);
+  const auto known = entry ? entry->kb_per_s(static_cast<int>(at)) : std::nullopt;
+  return known ? *known : rates[at] * terms_.site.plans[playback.plan].rate_scale;
 }
 
 void Manager::settle(Playback& playback, int status, const std::string& text, const http::Fields& more) {
@@ -529,6 +526,12 @@
   auto& playback = *found->second;
   bells_.disarm(playback.abandon);
   bells_.disarm(playback.silence);
+  if (playback.recording) {
+    if (auto asking = asking_.find(*playback.recording); asking != asking_.end()) {
+      asking->second.erase(id);
+      if (asking->second.empty()) asking_.erase(asking);
+    }
+  }
   by_key_.erase(playback.key);
   if (--title_uses_[playback.title_id] == 0) {
     title_uses_.erase(playback.title_id);
@@ -682,7 +685,9 @@
 void Manager::from_box(BoxLink& link, http::ResponseReader::Part part) {
   const Link id = link.link;
   if (part.fault && !part.head && !part.done) {
-    say("box_malformed", {{"box", link.use == Use::list ? std::string("list") : list_.box(link.server).name},
+    say("box_malformed", {{"box", link.use == Use::list   ? std::string("list")
+                                  : link.use == Use::feed ? std::string("feed")
+                                                          : list_.box(link.server).name},
                           {"cause", part.fault->cause}});
     if (link.use == Use::idle) return hang_box(id);
     return box_failed(link, link.head_seen ? Outcome::reset : Outcome::error);
@@ -706,6 +711,10 @@
       }
       if (part.done) list_answered(link, true);
       return;
+    case Use::feed:
+      link.body += part.body;
+      if (part.done) feed_answered(link, true);
+      return;
     case Use::probe:
       if (part.head) {
         const auto said = hints::read_cmsd("", http::joined(part.head->fields, "CMSD-Dynamic"));
@@ -733,6 +742,13 @@
         hear_box(link, *part.head, 0);
         // The box is well and knows nothing of the playback: it was restarted or has let it go.
         if (part.head->status == 421) return box_failed(link, Outcome::error);
+        // Nor does a box have what the catalogue has taken from it since the playback began.
+        if (part.head->status == 404 || part.head->status == 410) {
+          const auto playback = playbacks_.find(*link.playback);
+          const auto* entry = playback == playbacks_.end() ? nullptr : entry_of(*playback->second);
+          if (entry && !std::binary_search(entry->holders->begin(), entry->holders->end(), link.server))
+            return box_failed(link, Outcome::error);
+        }
         if (viewer != viewers_.end()) head_to_viewer(*viewer->second, link, *part.head);
       }
       return object_part(link, part);
@@ -753,6 +769,10 @@
     link.use = Use::object;
     playback.playing = true;
     bells_.disarm(playback.abandon);
+    if (playback.recording) {
+      if (auto asking = asking_.find(*playback.recording); asking != asking_.end())
+        asking->second.erase(playback.id);
+    }
     link.limit = arm(terms_.plans[playback.plan].abandon, Ring::box_limit, link.link);
     say("playback_plays", {{"playback", said_id(playback.id)},
                            {"box", list_.box(link.server).name},
@@ -854,6 +874,7 @@
 
 void Manager::on(const Ended& what) {
   if (what.link >= first_accepted) {
+    if (controls_.contains(what.link)) return control_gone(what.link);
     const auto found = viewers_.find(what.link);
     if (found == viewers_.end()) return;
     const auto viewer = std::move(found->second);
@@ -900,6 +921,7 @@
   const auto id = link.playback;
   const auto viewer_link = link.viewer;
   if (use == Use::list) return list_answered(link, false);
+  if (use == Use::feed) return feed_answered(link, false);
   hang_box(link.link);
   if (use == Use::probe) {
     if (!head_seen) tell(ProbeEnded{server, false, {}});
@@ -964,7 +986,7 @@
   auto& link = *found->second;
   bells_.disarm(link.limit);
   bells_.disarm(link.connect);
-  if (link.use != Use::list) {
+  if (link.use != Use::list && link.use != Use::feed) {
     --links_of_[link.server];
     std::erase(idle_[link.server], id);
   }
@@ -978,18 +1000,25 @@
   arm(terms_.list_every, Ring::list, 0);
   if (list_out_ || terms_.list_port == 0) return;
   list_out_ = true;
+  service_link(Use::list, terms_.list_address, terms_.list_port, "/boxes", list_etag_, 2 * terms_.list_every);
+}
+
+// One request of a service that is no box, on a connection of its own.
+Manager::BoxLink& Manager::service_link(Use use, const std::string& address, std::uint16_t port,
+                                        const std::string& target, const std::string& etag, Span limit) {
   auto fresh = std::make_unique<BoxLink>();
   auto& link = *fresh;
   link.link = next_link_;
   next_link_ = next_link_ + 1 < first_accepted ? next_link_ + 1 : 1;
-  link.use = Use::list;
+  link.use = use;
   boxes_.emplace(link.link, std::move(fresh));
-  acts_->push_back(Dial{link.link, terms_.list_address, terms_.list_port});
-  link.limit = arm(2 * terms_.list_every, Ring::box_limit, link.link);
+  acts_->push_back(Dial{link.link, address, port});
+  link.limit = arm(limit, Ring::box_limit, link.link);
   link.reader.expect(false);
-  http::Fields fields{{"Host", "list"}, {"Via", "1.1 " + terms_.name}, {"Connection", "close"}};
-  if (!list_etag_.empty()) fields.emplace_back("If-None-Match", list_etag_);
-  send_request(link, http::request_text("GET", "/boxes", fields));
+  http::Fields fields{{"Host", address}, {"Via", "1.1 " + terms_.name}, {"Connection", "close"}};
+  if (!etag.empty()) fields.emplace_back("If-None-Match", etag);
+  send_request(link, http::request_text("GET", target, fields));
+  return link;
 }
 
 void Manager::list_answered(BoxLink& link, bool whole) {
@@ -1078,6 +1107,7 @@
                    http::Fields more;
                    const auto whole = (o.come_back.count() + 999'999) / 1'000'000;
                    if (whole > 0) more.emplace_back("Retry-After", std::to_string(whole));
+                   if (found->second->recording) demand_.turned_away(now_, *found->second->recording);
                    settle(*found->second, 503, "rejected: no box has room\n", more);
                  },
                  [this](const Abort& o) {
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -14,6 +14,9 @@
 
 #include "boxlist/boxlist.h"
 #include "brain.h"
+#include "catalogue/demand.h"
+#include "catalogue/keeper.h"
+#include "cataloguewire/resource.h"
 #include "hints/weighing/weighing.h"
 #include "http/http.h"
 #include "manager/terms.h"
@@ -42,13 +45,27 @@
   ~Manager() override;
   void handle(Span now, const Happening& what, std::vector<Act>& acts) override;
   Held held() const;
+  // The catalogue, to be restored before the first happening.
+  catalogue::Keeper& catalogue() { return keeper_; }
 
  private:
-  enum class Use { idle, set_up, object, probe, list };
+  enum class Use { idle, set_up, object, probe, list, feed };
   struct ViewerLink;
   struct BoxLink;
   struct Playback;
-  enum class Ring { module, abandon, try_limit, box_limit, silence, list, viewer_stuck, stop, weigh };
+  enum class Ring {
+    module,
+    abandon,
+    try_limit,
+    box_limit,
+    silence,
+    list,
+    viewer_stuck,
+    stop,
+    weigh,
+    feed,
+    feed_wait
+  };
   struct Bell {
     Ring ring = Ring::module;
     std::uint32_t of = 0;
@@ -62,6 +79,7 @@
   void on(const HalfClosed& what);
   void on(const Ended& what);
   void on(const Flushed& what);
+  void on(const KeepDone& what);
   void on(const Woken&) {}
   void on(const StopAsked&);
   void ring(const Bell& bell);
@@ -110,6 +128,22 @@
   void list_answered(BoxLink& link, bool whole);
   void take_list(boxlist::News news, const char* source);
 
+  // ---- the catalogue ----
+  struct Control;
+  void control_requests(Control& control);
+  void control_reply(Control& control, const cataloguewire::Reply& reply);
+  void control_gone(Link link);
+  void keeper_did(std::vector<catalogue::KeeperAct> acts);
+  void holders_changed(const std::vector<catalogue::RecordingId>& recordings, bool whole);
+  void hold_anew(Playback& playback);
+  void wake_feeds();
+  void poll_feed();
+  void feed_answered(BoxLink& link, bool whole);
+  const catalogue::Entry* entry_of(const Playback& playback) const;
+  BoxLink& service_link(Use use, const std::string& address, std::uint16_t port, const std::string& target,
+                        const std::string& etag, Span limit);
+  std::vector<catalogue::Wanted> wanting();
+
   // ---- the module ----
   void tell(const Event& event);
   void carry_out();
@@ -146,6 +180,12 @@
   std::vector<TitleId> free_titles_;
   PlaybackId next_playback_ = 0;
   Link next_link_ = 1;
+  catalogue::Keeper keeper_;
+  catalogue::Demand demand_;
+  std::map<Link, std::unique_ptr<Control>> controls_;
+  std::map<catalogue::RecordingId, std::set<PlaybackId>>
+      asking_;  // that wait for a set-up, or are out for one
+  bool feed_out_ = false, feed_whole_ = false;
   std::string list_etag_;
   bool list_out_ = false;
 };
--- a/src/manager/terms.h
+++ b/src/manager/terms.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "brain.h"
+#include "catalogue/keeper.h"
 #include "http/http.h"
 
 namespace violettide::manager {
@@ -48,6 +49,14 @@
   std::size_t most_unsent = 256 * 1024;  // bytes to one viewer before its box is held
   Span stop_limit{5'000'000};
   http::Limits http;
+  // With a catalogue, holders come from it alone; without, from `recordings` and names' hashes.
+  bool catalogued = false;
+  catalogue::KeeperTerms keeper;
+  std::string feed_address = "127.0.0.1";
+  std::uint16_t feed_port = 0;  // 0: changes come by this front's own resource only
+  Span feed_wait{10'000'000};   // a feed may keep us waiting so long for news
+  std::size_t demand_kept = 512;
+  Span demand_half_life{60'000'000};
 };
 
 Holders holders_of(const FrontTerms& terms, std::string_view title);
--- a/src/runtime/runtime.cpp
+++ b/src/runtime/runtime.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdio>
 #include <cstring>
+#include <deque>
 #include <unordered_map>
 
 namespace violettide::runtime {
@@ -29,8 +30,12 @@
 class Loop::Inside {
  public:
   Inside(Core& core, std::vector<Listening> doors, std::function<void(Span, const Say&)> said,
-         std::string folder)
-      : core_(core), said_(std::move(said)), folder_(std::move(folder)), places_(std::move(doors)) {
+         std::string folder, Disk* disk)
+      : core_(core),
+        said_(std::move(said)),
+        folder_(std::move(folder)),
+        places_(std::move(doors)),
+        disk_(disk) {
     signal(SIGPIPE, SIG_IGN);  // a peer that is gone is told by the write that fails
     uv_loop_init(&loop_);
     origin_ = uv_hrtime() / 1000;
@@ -61,6 +66,7 @@
   ~Inside() { close_all(); }
 
   void close_all() {
+    ending_ = true;
     uv_walk(
         &loop_,
         [](uv_handle_t* handle, void*) {
@@ -118,7 +124,14 @@
     std::vector<Act> acts;
     core_.handle(now(), what, acts);
     perform(acts);
-    while (!flushed_.empty()) {
+    while (!flushed_.empty() || !unkept_.empty()) {
+      while (!unkept_.empty()) {
+        const auto ticket = unkept_.front();
+        unkept_.pop_front();
+        acts.clear();
+        core_.handle(now(), KeepDone{ticket, ""}, acts);
+        perform(acts);
+      }
       std::vector<Link> ready;
       ready.swap(flushed_);
       for (const auto link : ready) {
@@ -156,6 +169,7 @@
                      [&](Open& a) { open(a.door); },
                      [&](Shut& a) { shut(a.door); },
                      [&](Store& a) { store(a); },
+                     [&](Keep& a) { keep(std::move(a)); },
                      [&](Say& a) {
                        if (said_) said_(now(), a);
                      },
@@ -390,6 +404,33 @@
     if (auto* still = find(link)) read(*still);
   }
 
+  // One after another, so that what is kept follows what was kept before.
+  void keep(Keep&& what) {
+    if (!disk_) return unkept_.push_back(what.ticket);
+    keeps_.push_back(std::move(what));
+    if (keeps_.size() == 1) keep_next();
+  }
+  void keep_next() {
+    keeping_.data = this;
+    const int code = uv_queue_work(
+        &loop_, &keeping_,
+        [](uv_work_t* work) {
+          auto& self = *of(work);
+          const auto& next = self.keeps_.front();
+          self.keep_failed_ = self.disk_->keep(next.ticket, next.bytes, next.whole);
+        },
+        [](uv_work_t* work, int status) {
+          auto& self = *of(work);
+          const auto ticket = self.keeps_.front().ticket;
+          const auto failed =
+              status == UV_ECANCELED ? std::string("stopped before it was kept") : self.keep_failed_;
+          self.keeps_.pop_front();
+          if (!self.keeps_.empty()) self.keep_next();
+          if (!self.ending_) self.deliver(KeepDone{ticket, failed});
+        });
+    if (code) fail("a thread for the disk", code);
+  }
+
   // Written beside and moved into place, so that a reader finds the old file or the new one, whole.
   void store(const Store& what) {
     if (folder_.empty()) return;
@@ -419,12 +460,18 @@
   std::unordered_map<Link, Connection*> links_;
   Link next_accepted_ = first_accepted;
   std::vector<Link> flushed_, failed_;
+  Disk* disk_ = nullptr;
+  std::deque<Keep> keeps_;  // the first is on its way
+  std::deque<std::uint64_t> unkept_;
+  std::string keep_failed_;
+  uv_work_t keeping_{};
+  bool ending_ = false;
   std::array<char, read_size> buffer_;
 };
 
 Loop::Loop(Core& core, std::vector<Listening> doors, std::function<void(Span, const Say&)> said,
-           std::string folder)
-    : inside_(std::make_unique<Inside>(core, std::move(doors), std::move(said), std::move(folder))) {}
+           std::string folder, Disk* disk)
+    : inside_(std::make_unique<Inside>(core, std::move(doors), std::move(said), std::move(folder), disk)) {}
 Loop::~Loop() = default;
 std::uint16_t Loop::port(int door) const { return inside_->port(door); }
 void Loop::run() { inside_->run(); }
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -21,12 +21,20 @@
   std::string what;
 };
 
+// Where Keep puts its bytes. Called on a thread of its own, one at a time.
+class Disk {
+ public:
+  virtual ~Disk() = default;
+  // On the disk for good when it returns; else why not.
+  virtual std::string keep(std::uint64_t ticket, const std::string& bytes, bool whole) = 0;
+};
+
 class Loop {
  public:
-  // `said`: takes the core's log lines. `folder`: where Store puts its files; empty: nowhere.
-  // Doors in the core's numbering. Throws Failed.
+  // `disk`: without one, Keep is done at once and nothing is kept. `said`: takes the core's log lines.
+  // `folder`: where Store puts its files; empty: nowhere. Doors in the core's numbering. Throws Failed.
   Loop(Core& core, std::vector<Listening> doors, std::function<void(Span, const Say&)> said,
-       std::string folder);
+       std::string folder, Disk* disk = nullptr);
   ~Loop();
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
--- a/src/seams/seams.h
+++ b/src/seams/seams.h
@@ -40,10 +40,15 @@
 };  // never after the core's own Hang
 struct Flushed {
   Link link;
-};                // all that was sent has left for the kernel
+};                 // all that was sent has left for the kernel
+struct KeepDone {  // of Keep, in the order asked
+  std::uint64_t ticket;
+  std::string failed;  // the cause; empty: it is on the disk
+};
 struct Woken {};  // the time asked for by WakeAt has come
 struct StopAsked {};
-using Happening = std::variant<Accepted, Connected, Received, HalfClosed, Ended, Flushed, Woken, StopAsked>;
+using Happening =
+    std::variant<Accepted, Connected, Received, HalfClosed, Ended, Flushed, KeepDone, Woken, StopAsked>;
 
 struct Dial {
   Link link;
@@ -76,14 +81,19 @@
 struct Store {
   std::string name;
   std::string bytes;
-};  // keep as a whole or not at all
+};             // keep as a whole or not at all
+struct Keep {  // on the disk for good, before KeepDone comes; `whole`: in place of all kept before
+  std::uint64_t ticket;
+  std::string bytes;
+  bool whole;
+};
 using Field = std::pair<std::string, std::variant<std::int64_t, double, std::string>>;
 struct Say {
   std::string event;
   std::vector<Field> fields;
 };                // one log line
 struct Leave {};  // the core is done; end the loop
-using Act = std::variant<Dial, Send, Hang, Hold, Resume, WakeAt, Open, Shut, Store, Say, Leave>;
+using Act = std::variant<Dial, Send, Hang, Hold, Resume, WakeAt, Open, Shut, Store, Keep, Say, Leave>;
 
 class Core {
  public:
--- a/src/settings/deployment.cpp
+++ b/src/settings/deployment.cpp
@@ -73,6 +73,15 @@
       {"listen",
        {{"address", text, as(std::string("127.0.0.1"))}, {"port", whole, count(0), 0, 65535}},
        true},
+      {"control",
+       {{"address", text, as(std::string("127.0.0.1"))}, {"port", whole, count(0), 0, 65535}},
+       true},
+      {"catalogue",
+       {{"feed_address", text, as(std::string("127.0.0.1"))},
+        {"feed_port", whole, count(0), 0, 65535},
+        {"feed_wait", span, as(Span(10s)), 0.01, 30},
+        {"shrink_believed", part, of(0.7)}},
+       true},
       {"front",
        {{"name", text, as(std::string("front"))},
         {"hall", text, as(std::string())},
@@ -184,6 +193,15 @@
     } else if (call.name == "listen") {
       made.listen_address = call.text("address");
       made.listen_port = static_cast<std::uint16_t>(call.whole("port"));
+    } else if (call.name == "control") {
+      made.control_address = call.text("address");
+      made.control_port = static_cast<std::uint16_t>(call.whole("port"));
+    } else if (call.name == "catalogue") {
+      front.catalogued = true;
+      front.feed_address = call.text("feed_address");
+      front.feed_port = static_cast<std::uint16_t>(call.whole("feed_port"));
+      front.feed_wait = call.span("feed_wait");
+      front.keeper.shrink_believed = call.number("shrink_believed");
     } else if (call.name == "front") {
       own = &call;
       front.name = call.text("name");
--- a/tests/program/net.h
+++ b/tests/program/net.h
@@ -20,6 +20,9 @@
  public:
   Span latency = 200us;
   std::vector<std::pair<int, Say>> said;  // by host
+  std::vector<std::string> kept;          // by all
+  Span keep_time = 2ms;
+  std::string keep_fails;  // the cause that each Keep meets from now on; empty: none
 
   // Doors get the ports HOST * 1000 + 1, and on.
   int add(Core& core, int doors) {
@@ -190,7 +193,12 @@
             [&](Store& a) {
               stored_[{at, a.name}] = a.bytes;
             },
-            [&](Say& a) { said.emplace_back(at, a); },
+            [&](Keep& a) {
+                     kept.push_back(a.bytes);
+                     const auto failed = keep_fails;
+                     post(now_ + keep_time, at, KeepDone{a.ticket, failed});
+                   },
+                   [&](Say& a) { said.emplace_back(at, a); },
             [&](Leave&) { kill(at); },
         },
         act);
