Test the catalogue: interleavings, kills, damage, and changes amid set-ups

Need: no playback may be sent to a location the catalogue no longer lists, and nothing answered may be lost. Change: the writer against a plain map, a follower through 2,000 seeded interleavings of lost, doubled and late feeds, a store killed and damaged, the table of list and catalogue, and 60 seeds of requests, changes and list news on the network in memory. A held feed asks again once, not twice.

--- a/src/catalogue/keeper.cpp
+++ b/src/catalogue/keeper.cpp
@@ -1,5 +1,7 @@
 #include "catalogue/keeper.h"
 
+#include <algorithm>
+
 namespace violettide::catalogue {
 
 Keeper::Keeper(KeeperTerms terms, BoxIndex boxes, int rungs)
@@ -44,7 +46,9 @@
     had = revision;
   }
   next(acts);
-  if (waiting_.empty()) acts.push_back(AskFeed{writer_.present()->revision, false, ""});
+  const bool asks =
+      std::any_of(acts.begin(), acts.end(), [](auto& act) { return std::holds_alternative<AskFeed>(act); });
+  if (waiting_.empty() && !asks) acts.push_back(AskFeed{writer_.present()->revision, false, ""});
 }
 
 void Keeper::on(const FedWhole& what, std::vector<KeeperAct>& acts) {
--- /dev/null
+++ b/tests/program/catalogue_test.cpp
@@ -0,0 +1,678 @@
+// The catalogue: whole-or-nothing changes, snapshots that never move, the keeper's decisions over thousands
+// of interleavings, the store through kills and damage, and what a change means to set-ups under way.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+#include "catalogue/demand.h"
+#include "catalogue/keeper.h"
+#include "cataloguestore/store.h"
+#include "cataloguewire/json.h"
+#include "cataloguewire/resource.h"
+#include "manager/manager.h"
+#include "net.h"
+
+namespace violettide::catalogue {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::Net;
+using testing::Puppet;
+
+Recording recording(const std::string& title, std::vector<std::string> boxes) {
+  Recording made{title, {{"hi", 1, "avc1", 40, 90s}, {"lo", 0, "avc1", 10, 90s}}, {}};
+  for (auto& box : boxes) made.locations.push_back({std::move(box), LocationState::here, 5});
+  return made;
+}
+
+// Boxes are numbered as they are met; b0, b1, ... get their own numbers.
+BoxIndex numbered() {
+  return [](std::string_view name) { return static_cast<ServerId>(std::stoul(std::string(name.substr(1)))); };
+}
+
+const Applied& ok(const std::variant<Applied, Bad>& result) {
+  if (const auto* bad = std::get_if<Bad>(&result)) ADD_FAILURE() << bad->field << ": " << bad->cause;
+  return std::get<Applied>(result);
+}
+
+TEST(Writer, ASnapshotHeldNeverMoves) {
+  Writer writer(numbered(), 2);
+  writer.commit(ok(writer.apply(
+      {PutRecording{recording("a", {"b2", "b0"})}, PutRecording{recording("b", {"b0", "b2"})}})));
+  const auto held = writer.present();
+  EXPECT_EQ(*held->find("a")->holders, (std::vector<ServerId>{0, 2}));
+  EXPECT_EQ(held->find("a")->holders, held->find("b")->holders) << "those that lie alike share one set";
+  writer.commit(
+      ok(writer.apply({RemoveLocation{"a", "b0"}, PutLocation{"b", {"b7", LocationState::leaving, 9}},
+                       RemoveRecording{"a"}, PutRecording{recording("c", {})}})));
+  EXPECT_EQ(held->revision, 1u);
+  EXPECT_EQ(*held->find("a")->holders, (std::vector<ServerId>{0, 2}));
+  EXPECT_FALSE(held->find("c"));
+  const auto& now = *writer.present();
+  EXPECT_EQ(now.revision, 2u);
+  EXPECT_FALSE(now.find("a"));
+  EXPECT_EQ(*now.find("b")->holders, (std::vector<ServerId>{0, 2})) << "a leaving location takes nothing new";
+  EXPECT_EQ(now.recording("b")->locations.size(), 3u);
+  EXPECT_EQ(now.sums.recordings, 2u);
+  EXPECT_EQ(now.sums.locations, 3u);
+  EXPECT_EQ(now.find("b")->rung_within(0, 0), 0);
+  EXPECT_EQ(now.find("b")->length(), 90s);
+}
+
+TEST(Writer, ABadChangeSaysWhichFieldAndTakesNothing) {
+  Writer writer(numbered(), 2);
+  writer.commit(ok(writer.apply({PutRecording{recording("a", {"b0"})}})));
+  auto twice = recording("x", {"b1", "b1"});
+  auto high = recording("x", {});
+  high.renditions[0].rung = 2;
+  auto same = recording("x", {});
+  same.renditions[1].rung = 1;
+  auto nameless = recording("x", {});
+  nameless.renditions[1].name = "";
+  const struct {
+    Change change;
+    std::string field;
+  } cases[] = {{PutRecording{twice}, "locations[1].box"},    {PutRecording{high}, "renditions[0].rung"},
+               {PutRecording{same}, "renditions[1].rung"},   {PutRecording{nameless}, "renditions[1].name"},
+               {PutRecording{recording("", {})}, "title"},   {PutRecording{recording("a/b", {})}, "title"},
+               {PutRecording{recording("..", {})}, "title"}, {RemoveRecording{"nosuch"}, "title"},
+               {RemoveLocation{"a", "b9"}, "box"},           {RemoveRendition{"a", "no"}, "name"},
+               {PutLocation{"nosuch", {"b0"}}, "title"},     {PutRendition{"nosuch", {}}, "title"}};
+  for (const auto& c : cases) {
+    const auto result = writer.apply({PutRecording{recording("new", {"b0"})}, c.change});
+    ASSERT_TRUE(std::holds_alternative<Bad>(result)) << c.field;
+    EXPECT_EQ(std::get<Bad>(result).change, 1u);
+    EXPECT_EQ(std::get<Bad>(result).field, c.field);
+  }
+  EXPECT_EQ(writer.present()->revision, 1u);
+  EXPECT_FALSE(writer.present()->find("new"));
+}
+
+// Against a plain map, over random batches; every tenth snapshot is held and checked again at the end.
+TEST(Writer, AgreesWithAPlainMap) {
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    std::minstd_rand chance(seed);
+    Writer writer(numbered(), 2);
+    std::map<std::string, Recording> plain;
+    std::vector<std::pair<SnapshotPtr, std::map<std::string, Recording>>> held;
+    for (int step = 0; step < 300; ++step) {
+      std::vector<Change> batch;
+      auto after = plain;
+      for (unsigned i = 0; i < 1 + chance() % 4; ++i) {
+        const auto title = "t" + std::to_string(chance() % 1500);
+        const auto box = "b" + std::to_string(chance() % 9);
+        const auto found = after.find(title);
+        if (found == after.end() || chance() % 4 == 0) {
+          after[title] = recording(title, {box});
+          batch.push_back(PutRecording{after[title]});
+        } else if (chance() % 3 == 0) {
+          after.erase(title);
+          batch.push_back(RemoveRecording{title});
+        } else {
+          std::erase_if(found->second.locations, [&](auto& l) { return l.box == box; });
+          found->second.locations.push_back({box, LocationState::here, step});
+          batch.push_back(PutLocation{title, found->second.locations.back()});
+        }
+      }
+      writer.commit(ok(writer.apply(batch)));
+      plain = std::move(after);
+      if (step % 10 == 0) held.emplace_back(writer.present(), plain);
+    }
+    held.emplace_back(writer.present(), plain);
+    for (const auto& [snapshot, expected] : held) {
+      std::size_t seen = 0, locations = 0;
+      snapshot->each([&](const std::string& title, const Entry& entry) {
+        ++seen;
+        locations += entry.places.size();
+        ASSERT_EQ(snapshot->recording_of(title, entry), expected.at(title));
+      });
+      ASSERT_EQ(seen, expected.size());
+      ASSERT_EQ(snapshot->sums.recordings, seen);
+      ASSERT_EQ(snapshot->sums.locations, locations);
+    }
+  }
+}
+
+template <typename Kind>
+std::vector<Kind> of(const std::vector<KeeperAct>& acts) {
+  std::vector<Kind> all;
+  for (const auto& act : acts) {
+    if (const auto* kind = std::get_if<Kind>(&act)) all.push_back(*kind);
+  }
+  return all;
+}
+
+TEST(Keeper, AChangeIsAnsweredOnlyOnceItIsKept) {
+  Keeper keeper({}, numbered(), 2);
+  auto acts = keeper.handle(Asked{7, std::nullopt, false, {PutRecording{recording("a", {"b0"})}}});
+  ASSERT_EQ(of<ToKeep>(acts).size(), 1u);
+  EXPECT_TRUE(of<Answer>(acts).empty());
+  EXPECT_FALSE(keeper.present()->find("a")) << "not in force before it is on the disk";
+  acts = keeper.handle(Kept{1, std::nullopt});
+  EXPECT_EQ(of<Answer>(acts)[0].ticket, 7u);
+  EXPECT_TRUE(keeper.present()->find("a"));
+  acts = keeper.handle(Asked{8, std::nullopt, false, {RemoveRecording{"a"}}});
+  acts = keeper.handle(Kept{2, "the disk is full"});
+  EXPECT_EQ(of<Answer>(acts)[0].how, Answered::not_kept);
+  EXPECT_TRUE(keeper.present()->find("a")) << "nothing of it is in force";
+  EXPECT_EQ(keeper.present()->revision, 1u);
+}
+
+TEST(Keeper, TwoWritersRacingOnOneRevision) {
+  Keeper keeper({}, numbered(), 2);
+  keeper.handle(Asked{1, 0, false, {PutRecording{recording("a", {"b0"})}}});
+  keeper.handle(Asked{2, 0, false, {PutRecording{recording("a", {"b1"})}}});
+  const auto acts = keeper.handle(Kept{1, std::nullopt});
+  ASSERT_EQ(of<Answer>(acts).size(), 2u);
+  EXPECT_EQ(of<Answer>(acts)[0].how, Answered::taken);
+  EXPECT_EQ(of<Answer>(acts)[1].how, Answered::stale);
+  EXPECT_EQ(of<Answer>(acts)[1].revision, 1u);
+  EXPECT_EQ(*keeper.present()->find("a")->holders, std::vector<ServerId>{0});
+}
+
+std::vector<Change> many(int count) {
+  std::vector<Change> changes;
+  for (int i = 0; i < count; ++i)
+    changes.push_back(PutRecording{recording("t" + std::to_string(i), {"b0", "b1"})});
+  return changes;
+}
+
+TEST(Keeper, AShrinkAtAStrokeIsHeldForConfirmation) {
+  Keeper keeper({}, numbered(), 2);
+  keeper.handle(Asked{1, std::nullopt, false, many(40)});
+  keeper.handle(Kept{1, std::nullopt});
+  std::vector<Change> removal;
+  for (int i = 0; i < 20; ++i) removal.push_back(RemoveRecording{"t" + std::to_string(i)});
+  auto acts = keeper.handle(Asked{2, std::nullopt, false, removal});
+  EXPECT_EQ(of<Answer>(acts)[0].how, Answered::held);
+  EXPECT_TRUE(keeper.present()->find("t0"));
+  acts = keeper.handle(Asked{3, std::nullopt, true, removal});
+  EXPECT_EQ(of<ToKeep>(acts).size(), 1u);
+  keeper.handle(Kept{2, std::nullopt});
+  EXPECT_FALSE(keeper.present()->find("t0"));
+  // A feed can't be asked: it confirms by saying the same again.
+  std::vector<Change> rest;
+  for (int i = 20; i < 40; ++i) rest.push_back(RemoveRecording{"t" + std::to_string(i)});
+  acts = keeper.handle(Fed{3, {rest}});
+  EXPECT_TRUE(of<ToKeep>(acts).empty());
+  ASSERT_EQ(of<AskFeed>(acts).size(), 1u);
+  EXPECT_FALSE(of<AskFeed>(acts)[0].cause.empty());
+  acts = keeper.handle(Fed{3, {rest}});
+  EXPECT_EQ(of<ToKeep>(acts).size(), 1u);
+}
+
+TEST(Keeper, AFeedWithGapsRepeatsOrRuinsIsCaughtUpWhole) {
+  Keeper keeper({}, numbered(), 2);
+  auto acts =
+      keeper.handle(Fed{1, {{PutRecording{recording("a", {"b0"})}}, {PutRecording{recording("b", {"b0"})}}}});
+  EXPECT_EQ(of<ToKeep>(acts)[0].revision, 1u);
+  acts = keeper.handle(
+      Fed{1, {{PutRecording{recording("a", {"b0"})}}}});  // again, while the first is being kept
+  keeper.handle(Kept{1, std::nullopt});
+  keeper.handle(Kept{2, std::nullopt});
+  EXPECT_EQ(keeper.present()->revision, 2u);
+  acts = keeper.handle(Fed{4, {{RemoveRecording{"a"}}}});
+  ASSERT_EQ(of<AskFeed>(acts).size(), 1u);
+  EXPECT_TRUE(of<AskFeed>(acts)[0].whole) << "batch 3 is missing";
+  EXPECT_TRUE(keeper.present()->find("a"));
+  acts = keeper.handle(Fed{3, {{RemoveRecording{"never was"}}}});
+  EXPECT_TRUE(of<AskFeed>(acts)[0].whole) << "it does not fit what is held";
+  acts = keeper.handle(FedWhole{9, {recording("c", {"b1"})}});
+  ASSERT_EQ(of<ToKeep>(acts).size(), 1u);
+  EXPECT_TRUE(of<ToKeep>(acts)[0].whole);
+  acts = keeper.handle(Kept{9, std::nullopt});
+  EXPECT_EQ(keeper.present()->revision, 9u);
+  EXPECT_FALSE(keeper.present()->find("a"));
+  EXPECT_TRUE(keeper.present()->find("c"));
+  acts = keeper.handle(FedWhole{4, {recording("a", {"b1"})}});
+  EXPECT_TRUE(of<ToKeep>(acts).empty()) << "older than the one held";
+  EXPECT_FALSE(keeper.after(3, 10)) << "what came before a whole can't be told batch by batch";
+}
+
+// A keeper that follows another's feed through lost, doubled, late and refused answers ends at the same.
+TEST(Keeper, FollowsThroughAnyInterleaving) {
+  for (unsigned seed = 1; seed <= 2000; ++seed) {
+    std::minstd_rand chance(seed);
+    KeeperTerms short_log;
+    short_log.batches_kept = 3;
+    short_log.small = 1000;
+    Keeper origin(short_log, numbered(), 2), follower(short_log, numbered(), 2);
+    std::optional<Revision> keeping = std::nullopt;
+    bool whole = false;
+    const auto heed = [&](const std::vector<KeeperAct>& acts) {
+      for (const auto& act : acts) {
+        if (const auto* keep = std::get_if<ToKeep>(&act)) keeping = keep->revision;
+        if (const auto* feed = std::get_if<AskFeed>(&act)) whole = whole || feed->whole;
+      }
+    };
+    std::vector<KeeperEvent> way;  // answers on their way
+    for (int step = 0; step < 40 || follower.present()->revision != origin.present()->revision; ++step) {
+      ASSERT_LT(step, 400) << "seed " << seed << " does not catch up";
+      if (step < 40 && chance() % 2 == 0) {
+        const auto title = "t" + std::to_string(chance() % 6);
+        Change change = PutRecording{recording(title, {"b" + std::to_string(chance() % 4)})};
+        if (origin.present()->find(title) && chance() % 3 == 0) change = RemoveRecording{title};
+        origin.handle(Asked{1, std::nullopt, true, {change}});
+        origin.handle(Kept{origin.present()->revision + 1, std::nullopt});
+      }
+      if (chance() % 2 == 0) {  // the follower asks
+        const auto batches = origin.after(follower.present()->revision, 2);
+        if (batches && !whole) {
+          Fed fed{follower.present()->revision + 1, {}};
+          for (const auto& [revision, changes] : *batches) fed.batches.push_back(*changes);
+          way.emplace_back(fed);
+        } else {
+          FedWhole all{origin.present()->revision, {}};
+          origin.present()->each([&](const std::string& title, const Entry& entry) {
+            all.recordings.push_back(origin.present()->recording_of(title, entry));
+          });
+          way.emplace_back(all);
+          whole = false;
+        }
+      }
+      if (!way.empty() && chance() % 2 == 0) {
+        const auto at = chance() % way.size();  // late, doubled or lost
+        const auto event = way[at];
+        if (chance() % 3 != 0) way.erase(way.begin() + static_cast<long>(at));
+        if (chance() % 5 != 0) heed(follower.handle(event));
+        if (way.size() > 6) way.clear();
+      }
+      if (keeping && chance() % 2 == 0) {
+        const auto revision = *std::exchange(keeping, std::nullopt);
+        heed(follower.handle(
+            Kept{revision, chance() % 8 == 0 ? std::optional<std::string>("full") : std::nullopt}));
+      }
+    }
+    std::map<std::string, Recording> one, two;
+    origin.present()->each(
+        [&](const std::string& t, const Entry& e) { one[t] = origin.present()->recording_of(t, e); });
+    follower.present()->each(
+        [&](const std::string& t, const Entry& e) { two[t] = follower.present()->recording_of(t, e); });
+    ASSERT_EQ(one, two) << "seed " << seed;
+  }
+}
+
+TEST(Demand, TellsTheMostAskedWithinItsDoubt) {
+  std::minstd_rand chance(3);
+  Writer writer(numbered(), 2);
+  writer.commit(ok(writer.apply(many(500))));
+  const auto& snapshot = *writer.present();
+  Demand demand(64, 1h);
+  std::map<RecordingId, int> exact;
+  for (int i = 0; i < 20000; ++i) {
+    const auto rank = static_cast<unsigned>(500 * std::pow(static_cast<double>(chance() % 10000) / 10000, 3));
+    const auto id = *snapshot.id("t" + std::to_string(rank));
+    demand.asked(0s, id);
+    ++exact[id];
+  }
+  EXPECT_EQ(demand.size(), 64u);
+  const auto wanting = demand.wanting(0s, snapshot, 1, 1, 30s, 0, 10);
+  ASSERT_EQ(wanting.size(), 10u);
+  for (const auto& one : wanting) {
+    EXPECT_GE(one.asked, exact[one.recording]) << "never under the truth";
+    EXPECT_LE(one.asked - one.doubt, exact[one.recording]) << "and surely not over";
+  }
+  EXPECT_EQ(wanting[0].recording, *snapshot.id("t0"));
+  demand.turned_away(0s, wanting[9].recording);
+  EXPECT_EQ(demand.wanting(0s, snapshot, 1, 1, 30s, 0, 10)[0].recording, wanting[9].recording)
+      << "viewers turned away come first";
+  EXPECT_TRUE(demand.wanting(20h, snapshot, 1e6, 1, 30s, 0.7, 10).empty()) << "demand fades";
+}
+
+TEST(Wire, ChangesRoundTripAndBadOnesSayWhere) {
+  const std::vector<Change> changes{PutRecording{recording("a", {"b0"})},
+                                    RemoveRecording{"b"},
+                                    PutRendition{"a", {"x", 1, "hvc1", 2.5, 3s}},
+                                    RemoveRendition{"a", "x"},
+                                    PutLocation{"a", {"b1", LocationState::leaving, -4}},
+                                    RemoveLocation{"a", "b1"}};
+  const auto read = cataloguewire::read_changes(cataloguewire::text_of(changes));
+  ASSERT_TRUE(std::holds_alternative<std::vector<Change>>(read));
+  EXPECT_EQ(cataloguewire::text_of(std::get<std::vector<Change>>(read)), cataloguewire::text_of(changes));
+  const std::pair<const char*, const char*> bad[] = {
+      {"{", "byte 2"},
+      {"{}", "body"},
+      {"{\"changes\":[]}", "changes"},
+      {"{\"changes\":[{\"remove\":\"a\"},{\"remove\":7}]}", "changes[1].remove"},
+      {"{\"changes\":[{\"put\":{\"title\":\"a\",\"renditions\":[{\"name\":\"x\",\"rung\":-1}],\"locations\":["
+       "]}}]}",
+       "changes[0].put.renditions[0].rung"},
+      {"{\"changes\":[{\"put_location\":{\"title\":\"a\",\"location\":{\"box\":\"b\",\"state\":\"away\"}}}]}",
+       "changes[0].put_location.location.state"},
+      {"{\"changes\":[{\"vanish\":\"a\"}]}", "changes[0]"}};
+  for (const auto& [text, place] : bad) {
+    const auto result = cataloguewire::read_changes(text);
+    ASSERT_TRUE(std::holds_alternative<cataloguewire::BadJson>(result)) << text;
+    EXPECT_EQ(std::get<cataloguewire::BadJson>(result).place, place);
+  }
+}
+
+// ---- the store ----
+
+class Stored : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    auto pattern = (std::filesystem::temp_directory_path() / "violettide-store-XXXXXX").string();
+    folder = mkdtemp(pattern.data());
+  }
+  void TearDown() override { std::filesystem::remove_all(folder); }
+  static std::string batch(int i) {
+    return cataloguewire::text_of(
+        std::vector<Change>{PutRecording{recording("t" + std::to_string(i), {"b0"})}});
+  }
+  std::string folder;
+};
+
+TEST_F(Stored, AKilledWriterIsBackAtTheLastAnsweredRevision) {
+  for (int round = 0; round < 8; ++round) {
+    int answers[2];
+    ASSERT_EQ(pipe(answers), 0);
+    const auto own = folder + "/" + std::to_string(round);
+    const auto child = fork();
+    if (child == 0) {
+      cataloguestore::Store store(own);
+      Keeper keeper({}, numbered(), 2);
+      store.restore_to(keeper);
+      for (int i = 1; i < 10000; ++i) {
+        if (!store.keep(static_cast<Revision>(i), batch(i), false).empty()) _exit(1);
+        if (write(answers[1], &i, sizeof i) != sizeof i) _exit(1);
+      }
+      _exit(0);
+    }
+    close(answers[1]);
+    int last = 0;
+    // Killed in the midst of some write, after so many answers.
+    for (int i = 0; i < 3 + 5 * round; ++i)
+      ASSERT_EQ(read(answers[0], &last, sizeof last), static_cast<ssize_t>(sizeof last));
+    kill(child, SIGKILL);
+    waitpid(child, nullptr, 0);
+    for (int more; read(answers[0], &more, sizeof more) == static_cast<ssize_t>(sizeof more);) last = more;
+    close(answers[0]);
+    cataloguestore::Store store(own);
+    Keeper keeper({}, numbered(), 2);
+    const auto found = store.restore_to(keeper);
+    EXPECT_FALSE(found.damaged) << found.told;
+    EXPECT_GE(found.revision, static_cast<Revision>(last)) << "what was answered is there";
+    EXPECT_LE(found.revision, static_cast<Revision>(last) + 1);
+    EXPECT_TRUE(keeper.present()->find("t" + std::to_string(last)));
+  }
+}
+
+TEST_F(Stored, DamageGoesBackToTheLastGoodStateAndIsTold) {
+  {
+    cataloguestore::Store store(folder);
+    Keeper keeper({}, numbered(), 2);
+    store.restore_to(keeper);
+    for (int i = 1; i <= 20; ++i) ASSERT_EQ(store.keep(static_cast<Revision>(i), batch(i), false), "");
+  }
+  // One letter of the tenth batch flips on the disk.
+  std::fstream file(folder + "/catalogue.db", std::ios::in | std::ios::out | std::ios::binary);
+  std::string bytes((std::istreambuf_iterator<char>(file)), {});
+  const auto at = bytes.find("\"t10\"");
+  ASSERT_NE(at, std::string::npos);
+  file.seekp(static_cast<long>(at) + 1);
+  file.put('u');
+  file.close();
+  {
+    cataloguestore::Store store(folder);
+    Keeper keeper({}, numbered(), 2);
+    const auto found = store.restore_to(keeper);
+    EXPECT_TRUE(found.damaged);
+    EXPECT_EQ(found.revision, 9u);
+    EXPECT_NE(found.told.find("batch 10 does not match its checksum"), std::string::npos) << found.told;
+    EXPECT_TRUE(keeper.present()->find("t9"));
+    EXPECT_FALSE(keeper.present()->find("t11")) << "never half loaded";
+    EXPECT_TRUE(std::filesystem::exists(folder + "/catalogue.db.damaged"));
+    EXPECT_EQ(store.keep(10, batch(10), false), "") << "service goes on from there";
+  }
+  // Nothing of the database can be read: the snapshot written above stands in.
+  std::ofstream(folder + "/catalogue.db", std::ios::trunc) << std::string(8192, 'x');
+  std::filesystem::remove(folder + "/catalogue.db-wal");
+  cataloguestore::Store store(folder);
+  Keeper keeper({}, numbered(), 2);
+  const auto found = store.restore_to(keeper);
+  EXPECT_TRUE(found.damaged);
+  EXPECT_EQ(found.revision, 9u) << found.told;
+  EXPECT_TRUE(std::filesystem::exists(folder + "/catalogue.db.damaged-2"));
+}
+
+TEST_F(Stored, ASnapshotCutAnywhereIsNeverHalfLoaded) {
+  Writer writer(numbered(), 2);
+  writer.commit(ok(writer.apply(many(50))));
+  const auto path = folder + "/s";
+  ASSERT_EQ(cataloguestore::write_snapshot(path, *writer.present()), "");
+  EXPECT_EQ(cataloguestore::read_snapshot(path).recordings.size(), 50u);
+  std::ifstream in(path, std::ios::binary);
+  const std::string whole((std::istreambuf_iterator<char>(in)), {});
+  for (std::size_t at = 0; at < whole.size(); at += 7) {
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << whole.substr(0, at);
+    ASSERT_FALSE(cataloguestore::read_snapshot(path).fault.empty()) << at;
+    auto flipped = whole;
+    flipped[at] = static_cast<char>(flipped[at] ^ 4);
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << flipped;
+    const auto read = cataloguestore::read_snapshot(path);
+    ASSERT_TRUE(!read.fault.empty() || read.recordings.size() == 50) << at;
+  }
+  EXPECT_FALSE(cataloguestore::write_snapshot(folder + "/no/such/place", *writer.present()).empty());
+}
+
+TEST_F(Stored, AFullOrMissingDiskIsToldAndNothingIsLost) {
+  cataloguestore::Store store(folder);
+  Keeper keeper({}, numbered(), 2);
+  store.restore_to(keeper);
+  ASSERT_EQ(store.keep(1, batch(1), false), "");
+  EXPECT_FALSE(store.keep(1, batch(2), false).empty()) << "a revision is kept once";
+  std::ofstream(folder + "/file") << "x";
+  EXPECT_THROW(cataloguestore::Store(folder + "/file/below"), cataloguestore::Unusable);
+}
+
+// ---- changes amid set-ups: the manager, a box list, boxes and an operator, in any order ----
+
+struct Amid {
+  Net net;
+  Puppet boxes[3], list, viewer, operators;
+  std::unique_ptr<manager::Manager> front;
+  Link next = 1;
+  static constexpr int list_host = 4, viewer_host = 5, operator_host = 6;
+  std::string states[3] = {"ready", "ready", "ready"};
+  int list_revision = 1;
+  std::map<std::string, std::set<int>> listed;             // as the manager has answered
+  std::map<std::string, std::map<int, Span>> unlisted_at;  // since when not, by title and box
+  std::vector<std::string> wrong;
+  int set_ups = 0;
+
+  Amid() {
+    manager::FrontTerms terms;
+    terms.site.rung_kb = {10, 20};
+    terms.site.rung_revenue = {0.5, 1};
+    terms.site.plans.resize(1);
+    terms.site.plans[0] = {800ms, false, 1, 1, 0, 1, 0};
+    terms.site.kind_streams = {50};
+    terms.site.weights_told = true;
+    terms.site.link_kb_per_weight = 10000;
+    terms.site.most_tries = 4;
+    terms.site.cells = 3;
+    terms.plans = {{"a", 3s}};
+    terms.halls = {"h"};
+    terms.list_port = Net::port(list_host);
+    terms.list_every = 200ms;
+    terms.catalogued = true;
+    terms.silence = 1s;
+    front = std::make_unique<manager::Manager>(terms, 1, "", nullptr);
+    net.add(*front, 2);
+    for (int b = 0; b < 3; ++b) {
+      boxes[b].on_bytes = [this, b](Puppet& box, Link link, std::vector<Act>& acts) {
+        auto& got = box.peers[link].got;
+        const auto end = got.find("\r\n\r\n");
+        if (end == std::string::npos) return;
+        const auto title = got.substr(7, got.find('/', 7) - 7);
+        if (got.find("su") != std::string::npos) {
+          ++set_ups;
+          // Written by the manager one way earlier: was it listed then?
+          const auto& gone = unlisted_at[title];
+          const auto found = gone.find(b);
+          if (found != gone.end() && net.now() - net.latency > found->second)
+            wrong.push_back(title + " was sent to b" + std::to_string(b) + ", unlisted " +
+                            std::to_string((net.now() - found->second).count()) + " us before");
+        }
+        got.clear();
+        acts.push_back(Send{link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"});
+      };
+      net.add(boxes[b], 1);
+    }
+    list.on_bytes = [this](Puppet&, Link link, std::vector<Act>& acts) {
+      std::string text =
+          "{\"revision\":" + std::to_string(list_revision) + ",\"clock_ms\":100000,\"boxes\":[";
+      for (int b = 0; b < 3; ++b) {
+        text += std::string(b ? "," : "") + "{\"name\":\"b" + std::to_string(b) +
+                "\",\"address\":\"127.0.0.1\",\"port\":" + std::to_string(Net::port(1 + b)) +
+                ",\"state\":\"" + states[b] + "\",\"kind\":0,\"cell\":0,\"hall\":\"h\",\"weight\":1}";
+      }
+      text += "]}";
+      acts.push_back(Send{link, http::head_text(200, {}, text.size(), false) + text});
+      acts.push_back(Hang{link, true});
+    };
+    net.add(list, 1);
+    net.add(viewer, 0);
+    net.add(operators, 0);
+    net.run(50ms);
+  }
+  Link ask(const std::string& title, int sid) {
+    const Link link = next++;
+    viewer.next.push_back(Dial{link, "", Net::port(0)});
+    viewer.next.push_back(Send{link, "GET /a/" + title +
+                                         "/r1/0 HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"s" +
+                                         std::to_string(sid) + "\"\r\n\r\n"});
+    net.poke(viewer_host);
+    return link;
+  }
+  // The operator's request; its answer is waited for by running the net on.
+  std::string change(const std::string& method, const std::string& target, const std::string& body = "") {
+    const Link link = next++;
+    operators.next.push_back(Dial{link, "", Net::port(0, 1)});
+    operators.next.push_back(Send{link, method + " " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                                            std::to_string(body.size()) + "\r\n\r\n" + body});
+    net.poke(operator_host);
+    for (int i = 0; i < 1000 && operators.peers[link].got.empty(); ++i) net.run(net.now() + 50us);
+    return operators.peers[link].got;
+  }
+  void put(const std::string& title, std::vector<int> where) {
+    std::vector<std::string> names;
+    for (const int b : where) names.push_back("b" + std::to_string(b)), unlisted_at[title].erase(b);
+    const auto answer =
+        change("PUT", "/catalogue/recordings/" + title, cataloguewire::text_of(recording(title, names)));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+    for (int b = 0; b < 3; ++b) {
+      if (std::find(where.begin(), where.end(), b) == where.end())
+        unlisted_at[title].try_emplace(b, net.now());
+    }
+  }
+};
+
+TEST(Amid, AnUnknownTitleIs404AndAnEmptySetIsAnsweredAtOnce) {
+  Amid amid;
+  const auto unknown = amid.ask("nosuch", 1);
+  amid.net.run(amid.net.now() + 20ms);
+  EXPECT_TRUE(amid.viewer.peers[unknown].got.starts_with("HTTP/1.1 404")) << amid.viewer.peers[unknown].got;
+  amid.put("t", {});
+  const auto nowhere = amid.ask("t", 2);
+  amid.net.run(amid.net.now() + 20ms);
+  EXPECT_TRUE(amid.viewer.peers[nowhere].got.starts_with("HTTP/1.1 503")) << amid.viewer.peers[nowhere].got;
+  amid.put("t", {1});
+  const auto plays = amid.ask("t", 3);
+  amid.net.run(amid.net.now() + 20ms);
+  EXPECT_TRUE(amid.viewer.peers[plays].got.starts_with("HTTP/1.1 200")) << amid.viewer.peers[plays].got;
+}
+
+TEST(Amid, ATryNotYetWrittenIsTakenBackAndPlacedAnew) {
+  Amid amid;
+  amid.put("t", {0});
+  amid.net.latency = 20ms;  // a connection takes its time
+  const auto link = amid.ask("t", 1);
+  amid.net.run(amid.net.now() + 21ms);  // asked; the box is being dialled
+  const auto operator_link = amid.next++;
+  const auto body = cataloguewire::text_of(recording("t", {"b2"}));
+  amid.operators.next.push_back(Dial{operator_link, "", Net::port(0, 1)});
+  amid.operators.next.push_back(
+      Send{operator_link, "PUT /catalogue/recordings/t HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                              std::to_string(body.size()) + "\r\n\r\n" + body});
+  amid.net.poke(Amid::operator_host);
+  amid.net.run(amid.net.now() + 400ms);
+  EXPECT_TRUE(amid.viewer.peers[link].got.starts_with("HTTP/1.1 200")) << amid.viewer.peers[link].got;
+  std::size_t taken_back = 0;
+  for (const auto& [host, said] : amid.net.said) taken_back += said.event == "try_taken_back";
+  EXPECT_EQ(taken_back, 1u);
+}
+
+// List and catalogue are each late: a box takes new playbacks only where both say so.
+TEST(Amid, AListAndACatalogueMustAgree) {
+  const struct {
+    const char* state;
+    bool listed;
+    bool plays;
+  } cases[] = {{"ready", true, true},      {"ready", false, false}, {"draining", true, false},
+               {"draining", false, false}, {"gone", true, false},   {"gone", false, false}};
+  for (const auto& c : cases) {
+    Amid amid;
+    for (auto& state : amid.states) state = c.state;
+    ++amid.list_revision;
+    amid.net.run(amid.net.now() + 500ms);
+    amid.put("t", c.listed ? std::vector<int>{1} : std::vector<int>{});
+    const auto link = amid.ask("t", 1);
+    amid.net.run(amid.net.now() + 100ms);
+    EXPECT_EQ(amid.viewer.peers[link].got.starts_with("HTTP/1.1 200"), c.plays)
+        << c.state << c.listed << amid.viewer.peers[link].got;
+  }
+  // A location on a box that no list has named becomes usable when one does.
+  Amid amid;
+  const auto answer =
+      amid.change("PUT", "/catalogue/recordings/t", cataloguewire::text_of(recording("t", {"b7"})));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+  const auto link = amid.ask("t", 1);
+  amid.net.run(amid.net.now() + 50ms);
+  EXPECT_TRUE(amid.viewer.peers[link].got.starts_with("HTTP/1.1 503"));
+}
+
+// Thousands of interleavings of requests, changes and list news: nothing is ever sent to a location that was
+// not listed at that moment, and every request has one answer.
+TEST(Amid, NothingIsSentToALocationThatIsNotListed) {
+  int set_ups = 0;
+  for (unsigned seed = 1; seed <= 60; ++seed) {
+    std::minstd_rand chance(seed);
+    Amid amid;
+    amid.net.latency = Span(50 + chance() % 4000);
+    amid.net.keep_time = Span(chance() % 6000);
+    for (int t = 0; t < 3; ++t) amid.put("t" + std::to_string(t), {0, 1, 2});
+    std::vector<Link> asked;
+    for (int step = 0; step < 60; ++step) {
+      const auto title = "t" + std::to_string(chance() % 3);
+      if (chance() % 2 == 0) asked.push_back(amid.ask(title, static_cast<int>(asked.size())));
+      if (chance() % 3 == 0) {
+        std::vector<int> where;
+        for (int b = 0; b < 3; ++b) {
+          if (chance() % 2 == 0) where.push_back(b);
+        }
+        amid.put(title, where);
+      }
+      if (chance() % 6 == 0)
+        amid.states[chance() % 3] = chance() % 3 == 0 ? "draining" : "ready", ++amid.list_revision;
+      amid.net.run(amid.net.now() + Span(chance() % 8000));
+    }
+    amid.net.run(amid.net.now() + 5s);
+    for (const auto& wrong : amid.wrong) ADD_FAILURE() << "seed " << seed << ": " << wrong;
+    for (const auto link : asked) {
+      const auto& got = amid.viewer.peers[link].got;
+      ASSERT_TRUE(got.starts_with("HTTP/1.1 ")) << "seed " << seed << " link " << link;
+      ASSERT_EQ(got.find("HTTP/1.1 ", 1), std::string::npos) << got;
+    }
+    set_ups += amid.set_ups;
+  }
+  EXPECT_GT(set_ups, 800);
+}
+
+}  // namespace
+}  // namespace violettide::catalogue
