Play a catalogue under change on loopback, audited; judge a shrink by what is left

Need: success is that no playback is ever sent to a location the catalogue no longer lists, on sockets and by traces. Cause found by it: a whole catalogue fetched after a broken feed was held as a shrink because moved locations counted as removed, and an origin that went on changing could never confirm it; one manager stayed 4 s behind. Change: a shrink is judged by the locations left; a feed confirms by saying so again at any later revision.

--- a/src/catalogue/catalogue.cpp
+++ b/src/catalogue/catalogue.cpp
@@ -321,11 +321,6 @@
     next->entries_.set(id, recording ? packed(*recording) : nullptr, edit);
     next->sums.recordings += (recording ? 1 : 0) - (before ? 1 : 0);
     next->sums.locations += count_now - count_before;
-    for (const auto& place : before ? before->places : std::vector<Entry::Place>{}) {
-      const bool kept = recording && std::any_of(recording->locations.begin(), recording->locations.end(),
-                                                 [&](auto& l) { return l.box == boxes_->name(place.box); });
-      if (!kept) ++applied.locations_removed;
-    }
     applied.changed.push_back(id);
   }
   next->revision = present_->revision + 1;
--- a/src/catalogue/catalogue.h
+++ b/src/catalogue/catalogue.h
@@ -171,7 +171,6 @@
 struct Applied {
   SnapshotPtr snapshot;
   std::vector<RecordingId> changed;  // each once, in order
-  std::size_t locations_removed = 0;
 };
 
 class Writer {
--- a/src/catalogue/keeper.cpp
+++ b/src/catalogue/keeper.cpp
@@ -14,11 +14,12 @@
 }
 
 // Guards against a tool or a feed that empties the catalogue at a stroke by mistake.
+// By what is left on the whole: moves are no shrink, however many.
 bool Keeper::shrinks(const Applied& applied) const {
   const auto before = writer_.present()->sums.locations;
   if (before <= terms_.small) return false;
-  const auto left = static_cast<double>(before - std::min(before, applied.locations_removed));
-  return left < terms_.shrink_believed * static_cast<double>(before);
+  return static_cast<double>(applied.snapshot->sums.locations) <
+         terms_.shrink_believed * static_cast<double>(before);
 }
 
 void Keeper::on(const Asked& what, std::vector<KeeperAct>& acts) {
@@ -103,13 +104,11 @@
   }
   auto& applied = std::get<Applied>(result);
   if (shrinks(applied)) {
-    const auto left = writer_.present()->sums.locations -
-                      std::min(writer_.present()->sums.locations, applied.locations_removed);
-    const auto cause = "leaves " + std::to_string(left) + " of " +
+    const auto cause = "leaves " + std::to_string(applied.snapshot->sums.locations) + " of " +
                        std::to_string(writer_.present()->sums.locations) + " locations: confirm it";
     if (waiting.asked && !waiting.asked->confirmed) return refuse(Answered::held, {}, cause);
-    // A feed confirms by saying the same again: nobody else can be asked.
-    if (!waiting.asked && held_ != waiting.expected) {
+    // A feed confirms by saying so again, be it of a later revision: nobody else can be asked.
+    if (!waiting.asked && (!held_ || *held_ > waiting.expected)) {
       held_ = waiting.expected;
       acts.push_back(AskFeed{present, waiting.whole.has_value(), cause});
       std::erase_if(waiting_, [&](const auto& w) { return !w.asked && &w != &waiting; });
--- a/src/cli/day.cpp
+++ b/src/cli/day.cpp
@@ -121,7 +121,9 @@
     Child boxes({"violettide", "boxes", words_.day, "--folder", folder_, "--zero-us", zero_text, "--ports-to",
                  folder_ + "/boxes.ports"},
                 folder_ + "/boxes.err");
-    list_port_ = ports_in(folder_ + "/boxes.ports", boxes).back();
+    const auto service_ports = ports_in(folder_ + "/boxes.ports", boxes);
+    list_port_ = service_ports.at(day_.boxes.size());
+    if (day_.deployment.front.catalogued) feed_port_ = service_ports.back();
     managers_.resize(static_cast<std::size_t>(day_.managers));
     ports_.resize(managers_.size());
     for (int i = 0; i < day_.managers; ++i) {
@@ -198,6 +200,10 @@
         "--log",       folder_ + "/" + name(i) + ".log",
         "--ports-to",  port_file(i),
         "--seed",      std::to_string(day_.seed * 100 + static_cast<std::uint32_t>(i))};
+    if (feed_port_ != 0) {
+      words.push_back("--feed-port");
+      words.push_back(std::to_string(feed_port_));
+    }
     put(trace::Passed::STARTED, i);
     managers_[i] = Child(words, folder_ + "/" + name(i) + ".err");
     down_[i] = false;
@@ -255,7 +261,7 @@
   const standins::Day& day_;
   std::string folder_;
   trace::Writer trace_;
-  std::uint16_t list_port_ = 0;
+  std::uint16_t list_port_ = 0, feed_port_ = 0;
   std::vector<Child> managers_;
   std::vector<std::uint16_t> ports_;
   std::map<int, bool> down_;
--- a/src/cli/services.cpp
+++ b/src/cli/services.cpp
@@ -184,10 +184,11 @@
     Later later;
     std::vector<runtime::Listening> doors(day.boxes.size(), {"127.0.0.1", 0});
     doors.push_back({"127.0.0.1", day.deployment.front.list_port});
+    if (day.deployment.front.catalogued) doors.push_back({"127.0.0.1", day.deployment.front.feed_port});
     runtime::Loop loop(later, doors, log_to(words.folder.empty() ? "" : words.folder + "/boxes.log", "boxes"),
                        "");
     std::vector<std::uint16_t> ports;
-    for (int i = 0; i <= static_cast<int>(day.boxes.size()); ++i) ports.push_back(loop.port(i));
+    for (int i = 0; i < static_cast<int>(doors.size()); ++i) ports.push_back(loop.port(i));
     auto fleet = std::make_unique<standins::Fleet>(day, ports, into_day(loop.origin_us(), words.zero_us),
                                                    [&](const trace::Passed& record) { trace.put(record); });
     fleet->clock_at(loop.origin_us());
@@ -195,7 +196,7 @@
     write_ports(words.ports_to, ports);
     if (words.ports_to.empty())
       std::cerr << "violettide: " << day.boxes.size()
-                << " boxes, their list at http://127.0.0.1:" << ports.back() << "/boxes\n";
+                << " boxes, their list at http://127.0.0.1:" << ports[day.boxes.size()] << "/boxes\n";
     loop.run();
     return 0;
   });
--- a/src/standins/day.h
+++ b/src/standins/day.h
@@ -19,21 +19,23 @@
 
 // Kinds of trouble. Those of bench days are named as there; docs/operate/days.md maps them.
 enum class Ill {
-  crash,        // the process dies: connections reset, refused until it is back, cold
-  vanish,       // the machine goes silent; back cold
-  hang,         // takes work, answers nothing
-  slow,         // link and set-ups `size` times slower
-  ageing,       // slower and slower, then dead, back cold
-  neighbour,    // another program takes `size` of the link, seconds on and off
-  drain,        // the list says draining; `size` seconds later the process is gone, back cold at the end
-  answer_lost,  // a set-up runs, its answer never comes
-  false_cmsd,   // the box tells a util of `size` whatever it does
-  report_late,  // the box's CMSD is `size` seconds old
-  list_late,    // the list is `size` seconds further behind
-  list_down,    // the list service answers nothing
-  crowd,        // `size` more viewers a second come for one title
-  roll,         // managers killed one after another, `size` seconds down
-  stall,        // managers stand still
+  crash,            // the process dies: connections reset, refused until it is back, cold
+  vanish,           // the machine goes silent; back cold
+  hang,             // takes work, answers nothing
+  slow,             // link and set-ups `size` times slower
+  ageing,           // slower and slower, then dead, back cold
+  neighbour,        // another program takes `size` of the link, seconds on and off
+  drain,            // the list says draining; `size` seconds later the process is gone, back cold at the end
+  answer_lost,      // a set-up runs, its answer never comes
+  false_cmsd,       // the box tells a util of `size` whatever it does
+  report_late,      // the box's CMSD is `size` seconds old
+  list_late,        // the list is `size` seconds further behind
+  list_down,        // the list service answers nothing
+  crowd,            // `size` more viewers a second come for one title
+  roll,             // managers killed one after another, `size` seconds down
+  catalogue_moves,  // `size` times a second a recording moves to another box
+  feed_broken,      // the catalogue's feed breaks off, leaves out batches, repeats them, or is refused
+  stall,            // managers stand still
 };
 struct Trouble {
   Ill ill = Ill::crash;
--- a/src/standins/fleet.h
+++ b/src/standins/fleet.h
@@ -1,6 +1,6 @@
 // Stand-in video servers and their list service, in one core: boxes with places, links and racks' uplinks
 // shared by all that plays, cold starts that fall over when pushed, and every trouble of the day. Doors: a
-// box each, then the list.
+// box each, then the list, then the catalogue's feed where the day has one.
 #pragma once
 
 #include <functional>
@@ -8,6 +8,7 @@
 #include <random>
 #include <set>
 
+#include "catalogue/keeper.h"
 #include "http/http.h"
 #include "seams/seams.h"
 #include "standins/day.h"
@@ -53,6 +54,9 @@
     double rate = 0;  // bytes a second at which they go when the link is free
     double credit = 0;
     bool close_after = false;
+    std::optional<catalogue::Revision> feed_after;  // waits for changes behind it
+    Span feed_until{0};
+    bool feed_lies = false;  // what it is sent tells it nothing that it could go by
   };
   struct ListState {
     Span visible_at{0};
@@ -65,6 +69,11 @@
   void requests(Link link, Peer& peer, std::vector<Act>& acts);
   void serve_box(Link link, Peer& peer, const http::Request& request, std::vector<Act>& acts);
   void serve_list(Link link, Peer& peer, const http::Request& request, std::vector<Act>& acts);
+  void begin_catalogue();
+  void move_recordings(double passed, std::vector<Act>& acts);
+  void serve_feed(Link link, Peer& peer, const http::Request& request, std::vector<Act>& acts);
+  bool feed_now(Link link, Peer& peer, std::vector<Act>& acts);
+  void put_listed(const Peer& peer, const std::string& title, const std::string& box, bool listed);
   void answer(Link link, Peer& peer, int status, http::Fields fields, const std::string& body,
               std::vector<Act>& acts);
   void begin_object(Link link, Peer& peer, std::vector<Act>& acts);
@@ -96,6 +105,9 @@
   std::map<std::string, std::map<std::string, std::string>> told_;  // to whom, of which box, what
   std::set<std::pair<std::size_t, int>> begun_, ended_;             // troubles and whom
   std::minstd_rand chance_;
+  std::unique_ptr<catalogue::Keeper> catalogue_;
+  std::map<std::string, std::vector<int>> lies_on_;  // boxes of each recording
+  double moves_due_ = 0;
   bool stopping_ = false;
 
  public:
--- a/tests/program/catalogue_test.cpp
+++ b/tests/program/catalogue_test.cpp
@@ -205,6 +205,24 @@
   EXPECT_EQ(of<ToKeep>(acts).size(), 1u);
 }
 
+TEST(Keeper, ManyMovesAtOnceAreNoShrink) {
+  Keeper keeper({}, numbered(), 2);
+  keeper.handle(Asked{1, std::nullopt, false, many(40)});
+  keeper.handle(Kept{1, std::nullopt});
+  FedWhole moved{5, {}};
+  for (int i = 0; i < 40; ++i) moved.recordings.push_back(recording("t" + std::to_string(i), {"b2", "b3"}));
+  EXPECT_EQ(of<ToKeep>(keeper.handle(moved)).size(), 1u);
+}
+
+TEST(Keeper, AHeldShrinkIsConfirmedByALaterWhole) {
+  Keeper keeper({}, numbered(), 2);
+  keeper.handle(Asked{1, std::nullopt, false, many(40)});
+  keeper.handle(Kept{1, std::nullopt});
+  EXPECT_TRUE(of<ToKeep>(keeper.handle(FedWhole{5, {recording("a", {"b0"})}})).empty());
+  EXPECT_EQ(of<ToKeep>(keeper.handle(FedWhole{6, {recording("a", {"b1"})}})).size(), 1u)
+      << "an origin that goes on changing";
+}
+
 TEST(Keeper, AFeedWithGapsRepeatsOrRuinsIsCaughtUpWhole) {
   Keeper keeper({}, numbered(), 2);
   auto acts =
