--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -144,14 +144,7 @@
   }
 }
 
-void Fleet::go_down(int number, std::vector<Act>& acts, bool silent) {
-  auto& box = boxes_[number];
-  box.up = false;
-  box.sessions.clear();
-  put(trace::Passed::DOWN, number, nullptr);
-  record_list();
-  if (silent) return;  // a machine that vanished neither refuses nor resets
-  acts.push_back(Shut{number});
+void Fleet::break_off(int number, std::vector<Act>& acts) {
   for (auto it = peers_.begin(); it != peers_.end();) {
     if (it->second.door != number) {
       ++it;
@@ -163,19 +156,22 @@
   }
 }
 
+void Fleet::go_down(int number, std::vector<Act>& acts, bool silent) {
+  auto& box = boxes_[number];
+  box.up = false;
+  box.sessions.clear();
+  put(trace::Passed::DOWN, number, nullptr);
+  record_list();
+  if (silent) return;  // a machine that vanished neither refuses nor resets
+  acts.push_back(Shut{number});
+  break_off(number, acts);
+}
+
 void Fleet::come_up(int number, std::vector<Act>& acts) {
   auto& box = boxes_[number];
   box.drained = box.ageing_died = false;
   if (box.up) return record_list();
-  for (auto it = peers_.begin(); it != peers_.end();) {
-    if (it->second.door != number) {
-      ++it;
-      continue;
-    }
-    if (it->second.set_up) put(trace::Passed::TRY_ENDED, number, &it->second, -1);
-    acts.push_back(Hang{it->first, false});
-    it = peers_.erase(it);
-  }
+  break_off(number, acts);
   box.up = true;
   box.cold = true;
   box.started = day_now();
--- a/src/standins/fleet.h
+++ b/src/standins/fleet.h
@@ -79,6 +79,7 @@
   void begin_object(Link link, Peer& peer, std::vector<Act>& acts);
   void step(std::vector<Act>& acts);
   void live_through_troubles(std::vector<Act>& acts);
+  void break_off(int box, std::vector<Act>& acts);
   void go_down(int box, std::vector<Act>& acts, bool silent);
   void come_up(int box, std::vector<Act>& acts);
   void record_list();
