Read and write HLS playlists, keep their course across boxes, and serve them

Need: the crash console's players speak HLS. One session manager is to serve both protocols by the same rules.

--- a/src/manager/inside.h
+++ b/src/manager/inside.h
@@ -1,11 +1,19 @@
 // What the manager keeps of each viewer, box and playback; for its own files only.
 #pragma once
 
+#include "hls/continuity/continuity.h"
 #include "manager/manager.h"
 
 namespace violettide::manager {
 
 struct Manager::ViewerLink {
+  // What its request is for; all but `object` are HLS.
+  enum class Wants { object, lists, media_list, segment, steering };
+  Wants wants = Wants::object;
+  passes::Pass pass;
+  bool pass_expired = false, delta = false, blocks = false;
+  std::string place;  // at the box, of what is no plain object
+  int fill_rung = 0;  // of the media playlist that fills the one asked for
   Link link = 0;
   http::RequestReader reader;
   http::Request request;
@@ -28,7 +36,9 @@
   Use use = Use::idle;
   bool connected = false, kept = false;  // kept: it served another request before
   bool head_seen = false, keep_alive = true, held = false, held_since_measure = false;
-  std::string waiting;  // the request, until it is connected
+  bool collects = false;    // a playlist: taken whole before anything of it is told
+  bool off_ladder = false;  // audio and the like: no rung tells its rate
+  std::string waiting;      // the request, until it is connected
   http::ResponseReader reader;
   std::optional<PlaybackId> playback;
   Link viewer = 0;
@@ -37,8 +47,25 @@
   int rung = 0, status = 0;
   double object_rate = 0;  // bytes a second that deliver it in its own duration
   std::uint64_t bytes = 0, measured_bytes = 0;
-  std::string body;  // of a list
-  std::string cmsd;  // CMSD-Dynamic as the box said it, empty where malformed
+  std::string body;            // of a list
+  std::string target, coding;  // of a playlist
+  std::string cmsd;            // CMSD-Dynamic as the box said it, empty where malformed
+};
+
+// What a playback has beyond that when players read it by playlists.
+struct Manager::HlsSide {
+  HlsSide(const hls::ShowTerms& terms, int floor) : showing(terms, floor) {}
+  struct Reader {
+    Span seen{0};
+    std::map<std::string, hls::Continuity> courses;  // by the place of the media playlist
+  };
+  hls::Showing showing;
+  std::map<int, std::string> lists;  // by rung: where its media playlist is at a box
+  std::map<int, bool> flat;
+  hls::Variables variables;
+  std::map<int, Reader> readers;
+  int next_reader = 1;
+  Span target{0};
 };
 
 struct Manager::Playback {
@@ -59,6 +86,7 @@
   std::size_t objects_out = 0;
   Span buffered{0};
   std::string sid;
+  std::unique_ptr<HlsSide> hls;
   Bells::Handle abandon, silence;
 };
 
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -71,10 +71,15 @@
       keeper_(
           terms_.keeper, [this](std::string_view name) { return list_.index(name); },
           static_cast<int>(terms_.site.rung_kb.size())),
-      demand_(terms_.demand_kept, terms_.demand_half_life) {}
+      demand_(terms_.demand_kept, terms_.demand_half_life),
+      keys_(terms_.hls.passes) {
+  terms_.hls.show.silence = terms_.silence;
+}
 Manager::~Manager() = default;
 
-Held Manager::held() const { return {viewers_.size(), boxes_.size(), playbacks_.size(), bells_.armed()}; }
+Held Manager::held() const {
+  return {viewers_.size(), boxes_.size(), playbacks_.size(), bells_.armed(), parted_.size(), lists_bytes_};
+}
 
 void Manager::say(std::string event, std::vector<Field> fields) {
   acts_->push_back(Say{std::move(event), std::move(fields)});
@@ -150,6 +155,7 @@
       if (found == playbacks_.end() || found->second->objects_out > 0) return;
       say("playback_over", {{"playback", said_id(bell.of)}, {"cause", std::string("silence")}});
       tell(TryEnded{bell.of, found->second->server, Outcome::served, true, {}});
+      part(*found->second, hls::Ending::silent);
       return forget(bell.of);
     }
     case Ring::viewer_stuck:
@@ -236,10 +242,15 @@
   viewer.close_after = !viewer.request.keep_alive || stopping_;
   if (viewer.request.method != "GET")
     return answer(viewer, 405, "media objects are read with GET\n", {{"Allow", "GET"}});
-  auto path = read_path(terms_, viewer.request.target);
-  if (const auto* fault = std::get_if<PathFault>(&path)) return answer(viewer, 404, fault->cause + "\n");
-  viewer.path = std::move(std::get<MediaPath>(path));
+  viewer.wants = ViewerLink::Wants::object;
   viewer.hints = hints::read_cmcd(viewer.request.fields, viewer.request.target);
+  const auto read = terms_.hls.on() ? read_hls(viewer) : Read::other;
+  if (read == Read::answered) return;
+  if (read == Read::other) {
+    auto path = read_path(terms_, viewer.request.target);
+    if (const auto* fault = std::get_if<PathFault>(&path)) return answer(viewer, 404, fault->cause + "\n");
+    viewer.path = std::move(std::get<MediaPath>(path));
+  }
   const auto* trace = http::find(viewer.request.fields, "traceparent");
   viewer.trace = trace ? *trace : "";
   if (!viewer.hints.faults.empty()) {
@@ -254,8 +265,10 @@
 // Which playback a request belongs to, and what it wants of it.
 void Manager::serve_media(ViewerLink& viewer) {
   if (stopping_) return answer(viewer, 503, "this front is stopping\n", {{"Retry-After", "1"}});
+  if (viewer.wants > ViewerLink::Wants::lists && !adopt(viewer)) return;
   auto& playback = admit(viewer);
   viewer.playback = playback.id;
+  if (viewer.wants != ViewerLink::Wants::object) hls_side(playback);
   if (!playback.playing) {
     // Guards against one session id gathering requests without end behind a slow set-up.
     if (playback.askers.size() >= most_askers) {
@@ -271,6 +284,7 @@
   heed(weighing_.handle(now_, hints::ViewerSaid{id, playback.server, viewer.hints.hints,
                                                 rate_kb(playback, playback.rung)}),
        playback.server);
+  if (viewer.wants != ViewerLink::Wants::object && !steer(viewer, playback)) return;
   fetch(viewer, playback);
 }
 
@@ -303,9 +317,8 @@
   return playback;
 }
 
-void Manager::ask(Playback& playback) {
-  playback.asked_at = now_;
-  const auto& viewer = *viewers_.at(playback.askers.front());
+// What the module is to know of it; nothing, and the playback settled, where the catalogue has none to play.
+std::optional<Request> Manager::request_for(Playback& playback, const ViewerLink& viewer) {
   const auto& plan = terms_.site.plans[playback.plan];
   Holders holders;
   violettide::Holders listed;
@@ -315,8 +328,9 @@
     const auto* entry = id ? keeper_.present()->find(*id) : nullptr;
     const auto best = entry ? entry->rung_within(plan.floor, plan.top) : std::nullopt;
     if (!best) {
-      return settle(playback, 404,
-                    entry ? "no rendition that this plan may play\n" : "no recording of that title\n", {});
+      settle(playback, 404, entry ? "no rendition that this plan may play\n" : "no recording of that title\n",
+             {});
+      return std::nullopt;
     }
     top = *best;
     holders.length = entry->length();
@@ -340,17 +354,27 @@
   request.listed = listed;
   request.top = weighing_.top_for(viewer.hints.hints, plan.floor, top, plan.rate_scale);
   playback.rung = plan.floor;
+  return request;
+}
+
+void Manager::ask(Playback& playback) {
+  playback.asked_at = now_;
+  const auto& viewer = *viewers_.at(playback.askers.front());
+  const auto request = request_for(playback, viewer);
+  if (!request) return;
+  const Span abandon = terms_.plans[playback.plan].abandon - (now_ - viewer.asked_at);
   playback.abandon = arm(part_of(abandon, guard_part), Ring::abandon, playback.id);
   say("playback_asked", {{"playback", said_id(playback.id)},
                          {"plan", terms_.plans[playback.plan].name},
                          {"title", playback.title},
                          {"sid", playback.sid},
-                         {"top", std::int64_t{request.top}}});
-  tell(request);
+                         {"top", std::int64_t{request->top}}});
+  tell(*request);
 }
 
 void Manager::answer(ViewerLink& viewer, int status, const std::string& text, const http::Fields& more) {
-  http::Fields fields{{"Content-Type", "text/plain"}, {"Via", "1.1 " + terms_.name}};
+  http::Fields fields{{"Via", "1.1 " + terms_.name}};
+  if (!http::find(more, "Content-Type")) fields.emplace_back("Content-Type", "text/plain");
   fields.insert(fields.end(), more.begin(), more.end());
   const bool head_only = viewer.request.method == "HEAD";  // whose answer has no body (RFC 9110, 9.3.2)
   send_to_viewer(viewer,
@@ -473,8 +497,11 @@
   own.server = terms_.name;
   own.response_delay = (now_ - box.asked_at).count() / 1000;
   if (viewer.playback) {
-    if (const auto found = playbacks_.find(*viewer.playback); found != playbacks_.end())
-      own.max_suggested_bitrate = std::llround(rate_kb(*found->second, found->second->rung) * kbit_per_kb);
+    if (const auto found = playbacks_.find(*viewer.playback); found != playbacks_.end()) {
+      const auto& of = *found->second;
+      const int rung = of.hls ? of.hls->showing.shown() : of.rung;
+      own.max_suggested_bitrate = std::llround(rate_kb(of, rung) * kbit_per_kb);
+    }
   }
   fields.emplace_back("CMSD-Dynamic", hints::after_entries(box.cmsd, own));
   viewer.chunked = !head.length && viewer.request.version >= 11;
@@ -551,6 +578,7 @@
 // request is a new one.
 void Manager::lost(Playback& playback, Outcome outcome) {
   say("playback_lost", {{"playback", said_id(playback.id)}, {"box", list_.box(playback.server).name}});
+  part(playback, hls::Ending::lost);
   tell(TryEnded{playback.id, playback.server, outcome, true, {}});
   forget(playback.id);
 }
@@ -559,7 +587,8 @@
 void Manager::rest(Playback& playback) {
   bells_.disarm(playback.silence);
   if (playback.objects_out > 0) return;
-  const Span silence = std::max(terms_.silence, playback.buffered + 2 * terms_.object_length);
+  const Span silence = playback.hls ? playback.hls->showing.silence()
+                                    : std::max(terms_.silence, playback.buffered + 2 * terms_.object_length);
   playback.silence = arm(silence, Ring::silence, playback.id);
 }
 
@@ -575,7 +604,13 @@
   }
   if (viewer && !viewer->trace.empty()) fields.emplace_back("traceparent", viewer->trace);
   if (viewer) {
-    if (const auto* range = http::find(viewer->request.fields, "Range")) fields.emplace_back("Range", *range);
+    const bool list =
+        viewer->wants == ViewerLink::Wants::lists || viewer->wants == ViewerLink::Wants::media_list;
+    const auto* range = http::find(viewer->request.fields, "Range");
+    if (list)
+      fields.emplace_back("Accept-Encoding", "gzip");
+    else if (range)
+      fields.emplace_back("Range", *range);
   }
   return fields;
 }
@@ -610,6 +645,7 @@
 void Manager::send_request(BoxLink& link, std::string text) {
   link.asked_at = now_;
   link.head_seen = false;
+  link.body.clear();
   link.bytes = link.measured_bytes = 0;
   link.held_since_measure = false;
   if (link.connected)
@@ -643,7 +679,7 @@
   if (!link) return tell(TryEnded{playback.id, order.server, Outcome::not_sent, false, {}});
   link->playback = playback.id;
   link->viewer = viewer.link;
-  link->rung = rung_for(playback, viewer.path.rung);
+  const auto target = box_target(viewer, playback, *link);
   link->limit = arm(order.time_limit, Ring::try_limit, link->link);
   playback.try_link = link->link;
   viewer.box = link->link;
@@ -652,8 +688,7 @@
                    {"rung", std::int64_t{link->rung}},
                    {"try", std::int64_t{playback.tries}}});
   link->reader.expect(false);
-  send_request(*link, http::request_text("GET", path_text(terms_, viewer.path, link->rung),
-                                         box_fields(&viewer, &playback, true)));
+  send_request(*link, http::request_text("GET", target, box_fields(&viewer, &playback, true)));
 }
 
 void Manager::start_probe(ServerId server) {
@@ -679,12 +714,14 @@
   viewer.box = link->link;
   link->playback = playback.id;
   link->viewer = viewer.link;
-  link->rung = rung_for(playback, viewer.path.rung);
-  // A box that is silent for as long as a set-up should take leaves time to ask another.
-  link->limit = arm(terms_.site.plans[playback.plan].startup_target, Ring::box_limit, link->link);
+  const auto target = box_target(viewer, playback, *link);
+  // A box that is silent for as long as a set-up should take leaves time to ask another. One that was asked
+  // to wait for a segment to come waits for that too.
+  Span limit = terms_.site.plans[playback.plan].startup_target;
+  if (viewer.blocks && playback.hls) limit += 3 * playback.hls->target;
+  link->limit = arm(limit, Ring::box_limit, link->link);
   link->reader.expect(false);
-  send_request(*link, http::request_text("GET", path_text(terms_, viewer.path, link->rung),
-                                         box_fields(&viewer, &playback, false)));
+  send_request(*link, http::request_text("GET", target, box_fields(&viewer, &playback, false)));
 }
 
 void Manager::from_box(BoxLink& link, http::ResponseReader::Part part) {
@@ -732,6 +769,12 @@
       if (part.done) release(link, true);
       return;
     case Use::set_up:
+      if (part.head && link.collects && part.head->status == 200) {
+        if (const auto playback = playbacks_.find(*link.playback); playback == playbacks_.end())
+          return hang_box(id);
+        hear_box(link, *part.head, 0);
+      }
+      if (link.collects && link.status == 200) return collect(link, part);
       if (part.head) {
         try_head(link, *part.head);
         const auto still = boxes_.find(id);
@@ -754,8 +797,10 @@
           if (entry && !std::binary_search(entry->holders->begin(), entry->holders->end(), link.server))
             return box_failed(link, Outcome::error);
         }
-        if (viewer != viewers_.end()) head_to_viewer(*viewer->second, link, *part.head);
+        link.collects = link.collects && part.head->status == 200;
+        if (viewer != viewers_.end() && !link.collects) head_to_viewer(*viewer->second, link, *part.head);
       }
+      if (link.collects) return collect(link, part);
       return object_part(link, part);
     case Use::idle:
       return;
@@ -767,53 +812,65 @@
   bells_.disarm(link.limit);
   const auto found = playbacks_.find(*link.playback);
   if (found == playbacks_.end()) return hang_box(link.link);
-  auto& playback = *found->second;
+  hear_box(link, head, rate_kb(*found->second, link.rung));
+  if (head.status == 200 || head.status == 206) return try_ran(link, &head);
+  // 503 is the box's word that it took nothing on (RFC 9110, 15.6.4); the rest may have run.
+  try_failed(link, head.status == 503 ? Outcome::full : Outcome::error,
+             {{"status", std::int64_t{head.status}}});
+}
+
+// `head`: of the object that goes on to its viewer; none where the answer was a playlist.
+void Manager::try_ran(BoxLink& link, const http::ResponseHead* head) {
+  auto& playback = *playbacks_.at(*link.playback);
   playback.try_link = 0;
-  hear_box(link, head, rate_kb(playback, link.rung));
-  if (head.status == 200 || head.status == 206) {
-    link.use = Use::object;
-    playback.playing = true;
-    bells_.disarm(playback.abandon);
-    if (playback.recording) {
-      if (auto asking = asking_.find(*playback.recording); asking != asking_.end())
-        asking->second.erase(playback.id);
-    }
-    link.limit = arm(terms_.plans[playback.plan].abandon, Ring::box_limit, link.link);
-    say("playback_plays", {{"playback", said_id(playback.id)},
-                           {"box", list_.box(link.server).name},
-                           {"rung", std::int64_t{link.rung}},
-                           {"tries", std::int64_t{playback.tries}},
-                           {"waited_ms", (now_ - playback.asked_at).count() / 1000}});
-    tell(Started{playback.id, link.server, now_ - link.asked_at});
-    ++playback.objects_out;
-    const auto askers = std::move(playback.askers);
-    playback.askers.clear();
-    const auto first = viewers_.find(link.viewer);
-    if (first != viewers_.end()) {
-      if (playback.tied_to_link) by_link_[link.viewer] = playback.id;
-      first->second->waits = false;
-      head_to_viewer(*first->second, link, head);
-    } else {
-      link.viewer = 0;
-    }
-    for (const auto asker : askers) {
-      const auto other = viewers_.find(asker);
-      if (other == viewers_.end() || asker == link.viewer) continue;
-      other->second->waits = false;
+  link.use = Use::object;
+  playback.playing = true;
+  bells_.disarm(playback.abandon);
+  if (playback.recording) {
+    if (auto asking = asking_.find(*playback.recording); asking != asking_.end())
+      asking->second.erase(playback.id);
+  }
+  bells_.disarm(link.limit);
+  link.limit = arm(terms_.plans[playback.plan].abandon, Ring::box_limit, link.link);
+  say("playback_plays", {{"playback", said_id(playback.id)},
+                         {"box", list_.box(link.server).name},
+                         {"rung", std::int64_t{link.rung}},
+                         {"tries", std::int64_t{playback.tries}},
+                         {"waited_ms", (now_ - playback.asked_at).count() / 1000}});
+  tell(Started{playback.id, link.server, now_ - link.asked_at});
+  ++playback.objects_out;
+  const auto askers = std::move(playback.askers);
+  playback.askers.clear();
+  const auto first = viewers_.find(link.viewer);
+  if (first != viewers_.end()) {
+    if (playback.tied_to_link) by_link_[link.viewer] = playback.id;
+    first->second->waits = false;
+    if (head) head_to_viewer(*first->second, link, *head);
+  } else {
+    link.viewer = 0;
+  }
+  for (const auto asker : askers) {
+    const auto other = viewers_.find(asker);
+    if (other == viewers_.end() || asker == link.viewer) continue;
+    other->second->waits = false;
+    if (other->second->wants == ViewerLink::Wants::object || steer(*other->second, playback))
       fetch(*other->second, playback);
-    }
-    return;
   }
-  // 503 is the box's word that it took nothing on (RFC 9110, 15.6.4); the rest may have run.
-  const auto outcome = head.status == 503 ? Outcome::full : Outcome::error;
-  say("try_ended", {{"playback", said_id(playback.id)},
-                    {"box", list_.box(link.server).name},
-                    {"status", std::int64_t{head.status}}});
+}
+
+void Manager::try_failed(BoxLink& link, Outcome outcome, std::vector<Field> more) {
+  auto& playback = *playbacks_.at(*link.playback);
+  playback.try_link = 0;
+  std::vector<Field> fields{{"playback", said_id(playback.id)}, {"box", list_.box(link.server).name}};
+  fields.insert(fields.end(), more.begin(), more.end());
+  say("try_ended", std::move(fields));
   if (const auto viewer = viewers_.find(link.viewer); viewer != viewers_.end()) viewer->second->box = 0;
   link.playback.reset();
   link.viewer = 0;
+  link.collects = false;
   link.use = Use::probe;  // the rest of its answer is read and let go
   link.head_seen = true;
+  bells_.disarm(link.limit);
   link.limit = arm(terms_.probe_limit, Ring::box_limit, link.link);
   tell(TryEnded{playback.id, link.server, outcome, false, {}});
 }
@@ -828,8 +885,11 @@
   if (said.fixed && said.fixed->object_duration && *said.fixed->object_duration > 0)
     length = static_cast<double>(*said.fixed->object_duration) / 1000;
   const auto playback = playbacks_.find(link.playback.value_or(~PlaybackId{0}));
-  const double rung_rate = playback == playbacks_.end() ? rate : rate_kb(*playback->second, link.rung);
-  link.object_rate = head.length ? static_cast<double>(*head.length) / length : rung_rate * 1000;
+  double rung_rate = playback == playbacks_.end() ? rate : rate_kb(*playback->second, link.rung);
+  if (link.collects || link.off_ladder) rung_rate = 0;
+  link.object_rate = link.collects ? 0
+                     : head.length ? static_cast<double>(*head.length) / length
+                                   : rung_rate * 1000;
   if (!said.hops.empty())
     heed(weighing_.handle(now_, hints::BoxSaid{link.server, said.hops.front(), rung_rate}), link.server);
 }
@@ -973,6 +1033,7 @@
   bells_.disarm(link.limit);
   link.playback.reset();
   link.viewer = 0;
+  link.collects = false;
   const bool wanted = reusable && link.keep_alive && !stopping_ &&
                       list_.box(link.server).standing != Standing::gone &&
                       idle_[link.server].size() < terms_.idle_links_per_box;
@@ -1105,6 +1166,7 @@
                                       {"from", std::int64_t{playback.rung}},
                                       {"to", std::int64_t{o.rung}}});
                    playback.rung = o.rung;
+                   if (playback.hls) playback.hls->showing.handle(now_, hls::RungIs{o.rung});
                  },
                  [this](const Reject& o) {
                    const auto found = playbacks_.find(o.playback);
@@ -1112,6 +1174,7 @@
                    http::Fields more;
                    const auto whole = (o.come_back.count() + 999'999) / 1'000'000;
                    if (whole > 0) more.emplace_back("Retry-After", std::to_string(whole));
+                   part(*found->second, hls::Ending::refused, o.come_back);
                    if (found->second->recording) demand_.turned_away(now_, *found->second->recording);
                    settle(*found->second, 503, "rejected: no box has room\n", more);
                  },
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -18,8 +18,11 @@
 #include "catalogue/keeper.h"
 #include "cataloguewire/resource.h"
 #include "hints/weighing/weighing.h"
+#include "hls/showing/showing.h"
+#include "hls/writing.h"
 #include "http/http.h"
 #include "manager/terms.h"
+#include "passes/passes.h"
 #include "seams/seams.h"
 #include "wheel/wheel.h"
 
@@ -36,6 +39,8 @@
 // What a manager holds now, for tests, logs and `bench/`.
 struct Held {
   std::size_t viewer_links = 0, box_links = 0, playbacks = 0, timers = 0;
+  std::size_t parted = 0;       // sides of playbacks that are over, kept for their players
+  std::size_t lists_bytes = 0;  // of boxes' playlists, kept
 };
 
 class Manager : public Core {
@@ -53,6 +58,7 @@
   struct ViewerLink;
   struct BoxLink;
   struct Playback;
+  struct HlsSide;
   enum class Ring {
     module,
     abandon,
@@ -99,6 +105,7 @@
   // ---- playbacks ----
   Playback& admit(ViewerLink& viewer);
   void ask(Playback& playback);
+  std::optional<Request> request_for(Playback& playback, const ViewerLink& viewer);
   void settle(Playback& playback, int status, const std::string& text, const http::Fields& more);
   void forget(PlaybackId id);
   void lost(Playback& playback, Outcome outcome);
@@ -115,6 +122,8 @@
   void from_box(BoxLink& link, http::ResponseReader::Part part);
   void object_part(BoxLink& link, http::ResponseReader::Part& part);
   void try_head(BoxLink& link, const http::ResponseHead& head);
+  void try_ran(BoxLink& link, const http::ResponseHead* head);
+  void try_failed(BoxLink& link, Outcome outcome, std::vector<Field> more);
   void box_failed(BoxLink& link, Outcome outcome);
   void box_time_up(BoxLink& link);
   void release(BoxLink& link, bool reusable);
@@ -123,6 +132,35 @@
   void hear_box(BoxLink& link, const http::ResponseHead& head, double rate);
   http::Fields box_fields(const ViewerLink* viewer, const Playback* playback, bool set_up) const;
 
+  // ---- HLS ----
+  enum class Read { other, taken, answered };
+  Read read_hls(ViewerLink& viewer);
+  Read read_pass(ViewerLink& viewer, std::string_view path, std::string_view query);
+  bool adopt(ViewerLink& viewer);
+  void part(Playback& playback, hls::Ending how, Span come_back = Span(0));
+  void hls_side(Playback& playback);
+  std::string box_target(ViewerLink& viewer, Playback& playback, BoxLink& link);
+  bool steer(ViewerLink& viewer, Playback& playback);
+  void collect(BoxLink& link, http::ResponseReader::Part& part);
+  void list_whole(BoxLink& link);
+  void list_unusable(BoxLink& link, const std::string& cause);
+  std::variant<std::string, hls::Fault> lists_text(ViewerLink& viewer, Playback& playback,
+                                                   const std::string& target, std::string text);
+  std::variant<std::string, hls::Fault> media_text(const ViewerLink& viewer, Playback& playback,
+                                                   ServerId server, const std::string& target,
+                                                   std::string text);
+  std::variant<std::shared_ptr<const hls::Media>, hls::Fault> read_list(ServerId server,
+                                                                        const std::string& target,
+                                                                        std::string text,
+                                                                        const hls::Variables& variables);
+  hls::Address address_of(const ViewerLink& viewer, const Playback& playback, ServerId server, int rung,
+                          const std::string& base, std::string_view uri, hls::Tag of);
+  std::string rendition_address(const ViewerLink& viewer, const Playback& playback, int rung, bool steady,
+                                bool flat, const std::string& place);
+  int rung_of(const Playback& playback, std::uint64_t bandwidth) const;
+  void answer_list(ViewerLink& viewer, const Playback& playback, const std::string& text);
+  Span wall() const { return terms_.hls.wall_at_zero + now_; }
+
   // ---- the list ----
   void poll_list();
   void list_answered(BoxLink& link, bool whole);
@@ -186,6 +224,20 @@
   std::map<catalogue::RecordingId, std::set<PlaybackId>>
       asking_;  // that wait for a set-up, or are out for one
   bool feed_out_ = false, feed_whole_ = false;
+  passes::KeyRing keys_;
+  hls::Departures departures_;
+  std::map<std::string, std::unique_ptr<HlsSide>>
+      parted_;  // by key; what a player that comes back goes on from
+  std::deque<std::string> parted_order_;
+  struct KeptList {
+    std::shared_ptr<const hls::Media> media;
+    std::uint64_t used = 0;
+  };
+  std::map<std::pair<ServerId, std::string>, KeptList> lists_read_;
+  std::map<std::uint64_t, std::pair<ServerId, std::string>> lists_used_;
+  std::uint64_t list_uses_ = 0;
+  std::size_t lists_bytes_ = 0;
+  std::uint64_t sids_ = 0;
   std::string list_etag_;
   bool list_out_ = false;
 };
--- a/src/manager/terms.h
+++ b/src/manager/terms.h
@@ -8,7 +8,10 @@
 
 #include "brain.h"
 #include "catalogue/keeper.h"
+#include "hls/playlist.h"
+#include "hls/showing/showing.h"
 #include "http/http.h"
+#include "passes/passes.h"
 
 namespace violettide::manager {
 
@@ -28,6 +31,19 @@
   Holders holders;
 };
 
+// The second front: HLS. Without a secret there is none.
+struct HlsTerms {
+  passes::PassTerms passes;
+  bool direct = false;  // segments straight from the box; playlists by this front in any case
+  hls::ShowTerms show;  // `silence` is the front's own
+  hls::Limits playlists;
+  Span wall_at_zero{0};            // the machine's clock at the core's time 0
+  int most_readers = 4;            // players that may share one session id
+  std::size_t parted_kept = 4096;  // playbacks that are over, remembered for their old addresses
+  std::size_t lists_kept_bytes = 64 * 1024 * 1024;  // of boxes' playlists as read last
+  bool on() const { return !passes.secrets.empty(); }
+};
+
 struct FrontTerms {
   std::string name = "front";  // in Via and CMSD
   SiteTerms site;              // what the module reads
@@ -49,6 +65,7 @@
   std::size_t most_unsent = 256 * 1024;  // bytes to one viewer before its box is held
   Span stop_limit{5'000'000};
   http::Limits http;
+  HlsTerms hls;
   // With a catalogue, holders come from it alone; without, from `recordings` and names' hashes.
   bool catalogued = false;
   catalogue::KeeperTerms keeper;
