--- a/src/hls/playlist.cpp
+++ b/src/hls/playlist.cpp
@@ -145,12 +145,7 @@
     throw Met{0, "no playlist: it does not begin with #EXTM3U"};
 }
 
-Fault fault_of(const Met& met, std::string_view text) {
-  return {static_cast<std::size_t>(
-              std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(met.at), '\n')) +
-              1,
-          met.cause};
-}
+Fault fault_of(const Met& met, std::string_view text) { return fault_at(text, met.at, met.cause); }
 
 class MediaReader {
  public:
@@ -443,6 +438,11 @@
 
 }  // namespace
 
+Fault fault_at(std::string_view text, std::size_t at, std::string cause) {
+  const auto before = text.substr(0, at);
+  return {static_cast<std::size_t>(std::count(before.begin(), before.end(), '\n')) + 1, std::move(cause)};
+}
+
 Span Media::length() const {
   Span sum{0};
   for (const auto& segment : segments) sum += segment.duration;
--- a/src/hls/playlist.h
+++ b/src/hls/playlist.h
@@ -23,6 +23,8 @@
   std::string text() const { return line ? "line " + std::to_string(line) + ": " + cause : cause; }
 };
 
+Fault fault_at(std::string_view text, std::size_t at, std::string cause);
+
 // What a playlist may be; one beyond is a fault, not a bigger table.
 struct Limits {
   std::size_t bytes = 8 * 1024 * 1024;
--- a/src/hls/writing.cpp
+++ b/src/hls/writing.cpp
@@ -23,7 +23,7 @@
       const auto text = uri.at.of(media.text);
       auto address = terms_.address ? terms_.address(piece, text, uri.of) : Address{};
       if (auto* none = std::get_if<NoAddress>(&address)) {
-        if (!fault) fault = Fault{line_of(media.text, uri.at.from), none->cause};
+        if (!fault) fault = fault_at(media.text, uri.at.from, none->cause);
         return;
       }
       into_.append(media.text, at, uri.at.from - at);
@@ -83,11 +83,6 @@
     return std::lower_bound(uris.begin(), uris.end(), range.from,
                             [](const UriAt& uri, std::uint32_t from) { return uri.at.from < from; });
   }
-  static std::size_t line_of(std::string_view text, std::size_t at) {
-    return static_cast<std::size_t>(
-               std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(at), '\n')) +
-           1;
-  }
 
   std::string& into_;
   const WriteTerms& terms_;
@@ -315,12 +310,7 @@
     if (uri.from == uri.to) return;
     const auto other = address(uri.of(from.text), of, index);
     if (const auto* none = std::get_if<NoAddress>(&other)) {
-      if (!fault)
-        fault =
-            Fault{static_cast<std::size_t>(std::count(
-                      from.text.begin(), from.text.begin() + static_cast<std::ptrdiff_t>(uri.from), '\n')) +
-                      1,
-                  none->cause};
+      if (!fault) fault = fault_at(from.text, uri.from, none->cause);
     } else if (const auto* text = std::get_if<std::string>(&other)) {
       edits.push_back({uri, *text});
     }
--- a/src/manager/hls_door.cpp
+++ b/src/manager/hls_door.cpp
@@ -210,6 +210,9 @@
   }
   playback.playing = true;
   playback.server = *server;
+  // What its address says it was shown, until the module says otherwise.
+  playback.rung = std::max(plan.floor, pass.rung);
+  playback.hls->showing.handle(now_, hls::RungIs{playback.rung});
   if (playback.recording) {
     if (auto asking = asking_.find(*playback.recording); asking != asking_.end())
       asking->second.erase(playback.id);
@@ -233,7 +236,8 @@
   } else {
     playback.hls = std::make_unique<HlsSide>(terms_.hls.show, terms_.site.plans[playback.plan].floor);
   }
-  playback.hls->showing.handle(now_, hls::RungIs{playback.rung});
+  // Before it plays the module's word is still to come.
+  if (playback.playing) playback.hls->showing.handle(now_, hls::RungIs{playback.rung});
 }
 
 // The playback is over here, but its player may not know: its numbers and its address are remembered.
@@ -403,6 +407,7 @@
       text.size() >= worth_packing && gzip::accepted(http::joined(viewer.request.fields, "Accept-Encoding"));
   if (pack) fields.emplace_back("Content-Encoding", "gzip");
   const auto body = pack ? gzip::packed(text) : text;
+  viewer.box = 0;  // its link is free: what this viewer is slow to read must not hold another's
   send_to_viewer(viewer, http::head_text(200, fields, body.size(), !viewer.close_after) + body);
   done_with(viewer);
 }
@@ -574,29 +579,31 @@
   return media;
 }
 
-hls::Address Manager::address_of(const ViewerLink& viewer, const Playback& playback, ServerId server,
-                                 int rung, const std::string& base, std::string_view uri, hls::Tag of) {
+// Where at the box a URI of its playlist leads; nothing: to another service, whose it stays.
+hls::Address Manager::place_at(const Playback& playback, ServerId server, const std::string& base,
+                               std::string_view uri, hls::Tag of) const {
   const auto& box = list_.box(server);
   const auto plain = hls::substituted(uri, playback.hls->variables);
   if (!plain) return hls::NoAddress{"a variable without a value"};
   const auto resolved = hls::resolve(base, *plain);
-  std::string place;
-  if (const auto* target = std::get_if<hls::Target>(&resolved)) {
-    place = target->text;
-  } else if (const auto* other = std::get_if<hls::Elsewhere>(&resolved)) {
-    // Keys and data of other services are theirs to give; media that lead away from the box are not.
-    const bool own =
-        other->scheme == "http" && other->authority == box.address + ":" + std::to_string(box.port);
-    if (own)
-      place = other->target;
-    else if (of == hls::Tag::key || of == hls::Tag::session_key || of == hls::Tag::session_data ||
-             other->scheme == "data")
-      return {};
-    else
-      return hls::NoAddress{"an address that leads away from the box"};
-  } else {
-    return hls::NoAddress{"an address that can't be read"};
-  }
+  if (const auto* target = std::get_if<hls::Target>(&resolved)) return target->text;
+  const auto* other = std::get_if<hls::Elsewhere>(&resolved);
+  if (!other) return hls::NoAddress{"an address that can't be read"};
+  // Keys and data of other services are theirs to give; media that lead away from the box are not.
+  if (other->scheme == "http" && other->authority == box.address + ":" + std::to_string(box.port))
+    return other->target;
+  if (of == hls::Tag::key || of == hls::Tag::session_key || of == hls::Tag::session_data ||
+      other->scheme == "data")
+    return {};
+  return hls::NoAddress{"an address that leads away from the box"};
+}
+
+hls::Address Manager::address_of(const ViewerLink& viewer, const Playback& playback, ServerId server,
+                                 int rung, const std::string& base, std::string_view uri, hls::Tag of) {
+  const auto& box = list_.box(server);
+  auto placed = place_at(playback, server, base, uri, of);
+  if (!std::holds_alternative<std::string>(placed)) return placed;
+  const auto place = std::get<std::string>(std::move(placed));
   if (terms_.hls.direct) return "http://" + box.address + ":" + std::to_string(box.port) + place;
   const bool own_rung = viewer.wants == ViewerLink::Wants::media_list && rung == viewer.pass.rung;
   const auto directory = hls::directory_of(base);
@@ -624,6 +631,12 @@
   const auto media = std::get<std::shared_ptr<const hls::Media>>(read);
   side.target = media->target;
   const int rung = viewer.fill_rung;
+  // Guards against one bad list staying in a player's course: it is looked through before it is taken.
+  for (const auto& uri : media->uris) {
+    const auto placed = place_at(playback, server, target, uri.at.of(media->text), uri.of);
+    if (const auto* none = std::get_if<hls::NoAddress>(&placed))
+      return hls::fault_at(media->text, uri.at.from, none->cause);
+  }
   auto& courses = side.readers[viewer.pass.reader].courses;
   const auto known = courses.find(viewer.pass.place);
   hls::Window whole;
