--- a/days/front.star
+++ b/days/front.star
@@ -20,3 +20,4 @@
 probes(allowed = True, price = 0.0087)
 box_list(every = ms(300))
 limits(silence = s(3))
+hls()
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -10,7 +10,7 @@
 namespace violettide::cli {
 
 struct ServeWords {
-  std::string settings, name, hall, keep_in, log, ports_to;
+  std::string settings, name, hall, keep_in, log, ports_to, hls_secrets;
   std::optional<std::uint16_t> port, list_port, control_port, feed_port;
   std::optional<int> fronts;
   std::uint64_t seed = 1;
--- a/src/cli/day.cpp
+++ b/src/cli/day.cpp
@@ -124,6 +124,9 @@
     const auto service_ports = ports_in(folder_ + "/boxes.ports", boxes);
     list_port_ = service_ports.at(day_.boxes.size());
     if (day_.deployment.front.catalogued) feed_port_ = service_ports.back();
+    // One secret for all managers of the day: an address must outlive the process that gave it out.
+    if (day_.deployment.hls)
+      std::ofstream(folder_ + "/hls.secrets") << "day " << day_.seed << " " << zero << "\n";
     managers_.resize(static_cast<std::size_t>(day_.managers));
     ports_.resize(managers_.size());
     for (int i = 0; i < day_.managers; ++i) {
@@ -200,6 +203,10 @@
         "--log",       folder_ + "/" + name(i) + ".log",
         "--ports-to",  port_file(i),
         "--seed",      std::to_string(day_.seed * 100 + static_cast<std::uint32_t>(i))};
+    if (day_.deployment.hls) {
+      words.push_back("--hls-secrets");
+      words.push_back(folder_ + "/hls.secrets");
+    }
     if (feed_port_ != 0) {
       words.push_back("--feed-port");
       words.push_back(std::to_string(feed_port_));
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -25,6 +25,7 @@
   serving->add_option("--keep-in", serve.keep_in, "folder of what survives a restart");
   serving->add_option("--log", serve.log, "log file; standard error if none");
   serving->add_option("--ports-to", serve.ports_to, "write the bound port here once it listens");
+  serving->add_option("--hls-secrets", serve.hls_secrets, "file of the second front's secrets, one a line");
   serving->add_option("--seed", serve.seed, "of the module's chances");
   serving->callback([&] { result = run_serve(serve); });
 
--- a/src/cli/services.cpp
+++ b/src/cli/services.cpp
@@ -5,9 +5,11 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <random>
 
 #include "cataloguestore/store.h"
 #include "cli/commands.h"
@@ -120,6 +122,41 @@
   return tell(std::get<settings::Mistakes>(settings));
 }
 
+namespace {
+
+// The second front's secrets: of a file, of the settings, or one of chance, whose addresses end with this
+// process. False, and told, where the file has none.
+bool take_secrets(const std::string& file, std::vector<std::string>& secrets) {
+  if (!file.empty()) {
+    std::ifstream lines(file);
+    if (!lines) {
+      std::cerr << "violettide: " << file << ": " << std::strerror(errno) << '\n';
+      return false;
+    }
+    secrets.clear();
+    for (std::string line; std::getline(lines, line);) {
+      if (!line.empty()) secrets.push_back(line);
+    }
+    if (secrets.empty()) {
+      std::cerr << "violettide: " << file << ": no secret in it\n";
+      return false;
+    }
+  }
+  if (secrets.empty()) {
+    std::random_device chance;
+    std::string secret;
+    for (int i = 0; i < 8; ++i) {
+      const auto word = chance();
+      secret.append(reinterpret_cast<const char*>(&word), sizeof word);
+    }
+    secrets.push_back(secret);
+    std::cerr << "violettide: no secret is set: HLS addresses end with this process\n";
+  }
+  return true;
+}
+
+}  // namespace
+
 int run_serve(const ServeWords& words) {
   auto read = standins::read_settings(words.settings);
   if (const auto* mistakes = std::get_if<settings::Mistakes>(&read)) return tell(*mistakes);
@@ -140,6 +177,12 @@
     }
     front.site.own_hall = static_cast<int>(at - front.halls.begin());
   }
+  if (deployment.hls) {
+    const auto& file = words.hls_secrets.empty() ? deployment.hls_secrets_from : words.hls_secrets;
+    if (!take_secrets(file, front.hls.passes.secrets)) return 2;
+    front.hls.wall_at_zero =
+        std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch());
+  }
   const auto kept = deployment.keep_in.empty()
                         ? std::string()
                         : settings::file_text(deployment.keep_in + "/boxes.json").value_or("");
--- a/src/hls/continuity/continuity.cpp
+++ b/src/hls/continuity/continuity.cpp
@@ -144,12 +144,26 @@
   while (window_.size() > std::max<std::size_t>(1, most)) drop_first(window_.pieces.front());
 }
 
-Course Continuity::take(Span now, const Fresh& fresh) {
+// Players take segments of one number in several renditions for the same stretch of time; so they are made to
+// be, where times tell.
+std::uint64_t Continuity::first_number(const Media& media, const Continuity* beside) const {
+  if (!beside || beside->window_.pieces.empty()) return media.media_sequence;
+  const auto& piece = beside->window_.pieces.back();
+  const auto& last = piece.at(piece.count - 1);
+  const auto number = beside->window_.media_sequence + beside->window_.size() - 1;
+  for (std::size_t i = 0; i < media.segments.size() && last.wall != no_wall; ++i) {
+    const auto& segment = media.segments[i];
+    if (segment.wall != no_wall && near(segment.wall, last.wall, last.duration) && number >= i) return number - i;
+  }
+  return media.media_sequence;
+}
+
+Course Continuity::take(Span now, const Fresh& fresh, const Continuity* beside) {
   const auto& media = *fresh.media;
   if (window_.pieces.empty()) {
     news_at_ = now;
     if (media.segments.empty()) return {Course::Step::stood, Span(0)};
-    window_.media_sequence = media.media_sequence;
+    window_.media_sequence = first_number(media, beside);
     window_.discontinuity_sequence = media.discontinuity_sequence;
     append(fresh, 0, false);
     return {Course::Step::began, Span(0)};
--- a/src/hls/continuity/continuity.h
+++ b/src/hls/continuity/continuity.h
@@ -29,13 +29,15 @@
 
 class Continuity {
  public:
-  Course take(Span now, const Fresh& fresh);
+  // `beside`: another rendition's course of the same player, to begin with its numbers; null where none is.
+  Course take(Span now, const Fresh& fresh, const Continuity* beside = nullptr);
   // As it was shown last; no pieces before the first take().
   const Window& window() const { return window_; }
   // The number that the newest box gives to what the player calls `shown`; for requests that name one.
   std::uint64_t at_box(std::uint64_t shown) const;
 
  private:
+  std::uint64_t first_number(const Media& media, const Continuity* beside) const;
   std::optional<std::uint32_t> find_last(const Fresh& fresh) const;
   enum class Lies { unknown, behind, ahead };
   Lies lies(const Fresh& fresh) const;
--- a/src/manager/hls_door.cpp
+++ b/src/manager/hls_door.cpp
@@ -127,6 +127,11 @@
     }
     return Read::taken;
   }
+  if (pass.names == passes::Pass::Names::lists) {
+    viewer.wants = ViewerLink::Wants::lists;
+    viewer.place = pass.place;
+    return Read::taken;
+  }
   if (pass.names == passes::Pass::Names::resource) {
     viewer.wants = ViewerLink::Wants::segment;
     viewer.place = pass.place;
@@ -290,7 +295,7 @@
   auto& readers = side.readers;
   const auto told = viewer.hints.hints.buffer_length;
   const Span buffer = std::chrono::milliseconds(std::clamp<std::int64_t>(told.value_or(0), 0, 600'000));
-  if (viewer.wants == Wants::lists) {
+  if (viewer.wants == Wants::lists && !readers.contains(viewer.pass.reader)) {
     std::erase_if(readers,
                   [&](const auto& entry) { return now_ - entry.second.seen > side.showing.silence(); });
     // Guards against one session id, and its one seat, being shared by players without end.
@@ -302,6 +307,7 @@
     }
     return true;
   }
+  if (viewer.wants == Wants::lists) return true;
   if (!readers.contains(viewer.pass.reader) &&
       readers.size() >= 2 * static_cast<std::size_t>(terms_.hls.most_readers)) {
     readers.erase(std::min_element(readers.begin(), readers.end(),
@@ -406,6 +412,17 @@
   const bool pack =
       text.size() >= worth_packing && gzip::accepted(http::joined(viewer.request.fields, "Accept-Encoding"));
   if (pack) fields.emplace_back("Content-Encoding", "gzip");
+  if (viewer.wants == ViewerLink::Wants::lists) {
+    // Read again there, it is known to be the same player; CMSD's mb tells when that is worth it.
+    auto pass = viewer.pass;
+    pass.names = passes::Pass::Names::lists;
+    pass.plan = playback.plan;
+    pass.title = playback.title;
+    pass.sid = playback.sid;
+    pass.box = list_.box(playback.server).name;
+    pass.place = viewer.place;
+    fields.emplace_back("Content-Location", address(std::move(pass)));
+  }
   const auto body = pack ? gzip::packed(text) : text;
   viewer.box = 0;  // its link is free: what this viewer is slow to read must not hold another's
   send_to_viewer(viewer, http::head_text(200, fields, body.size(), !viewer.close_after) + body);
@@ -428,18 +445,17 @@
 
 std::string Manager::rendition_address(const ViewerLink& viewer, const Playback& playback, int rung,
                                        bool steady, bool flat, const std::string& place) {
-  passes::Pass pass;
+  auto pass = viewer.pass;
   pass.names = passes::Pass::Names::rendition;
   pass.flat = flat;
   pass.steady = steady;
   pass.plan = playback.plan;
   pass.rung = rung;
-  pass.reader = viewer.pass.reader;
   pass.title = playback.title;
   pass.sid = playback.sid;
-  pass.box = list_.box(playback.server).name;
+  if (pass.box.empty()) pass.box = list_.box(playback.server).name;
   pass.place = place;
-  return std::string(pass_path) + keys_.write(wall(), pass) + "/" + std::string(file_of(place));
+  return address(std::move(pass));
 }
 
 std::variant<std::string, hls::Fault> Manager::lists_text(ViewerLink& viewer, Playback& playback,
@@ -516,8 +532,11 @@
   side.variables = lists.variables;
   if (viewer.pass.reader == 0)
     viewer.pass.reader = std::exchange(side.next_reader, side.next_reader % 250 + 1);
-  side.readers[viewer.pass.reader] = {now_, {}};
-  const auto address = [&](std::string_view uri, hls::Tag of, std::size_t index) -> hls::Address {
+  side.readers[viewer.pass.reader].seen = now_;
+  // Given out now, whatever address the lists were read at.
+  viewer.pass.expires = Span(0);
+  viewer.pass.box.clear();
+  const auto address_for = [&](std::string_view uri, hls::Tag of, std::size_t index) -> hls::Address {
     if (of == hls::Tag::session_data || of == hls::Tag::session_key)
       return address_of(viewer, playback, playback.server, 0, target, uri, of);
     const auto& placed = places.find(uri)->second;
@@ -537,7 +556,7 @@
     own = "#EXT-X-CONTENT-STEERING:SERVER-URI=\"" + std::string(pass_path) + keys_.write(wall(), pass) + "/" +
           std::string(steering_name) + "\"\n";
   }
-  return hls::write_multivariant(lists, shown, address, own);
+  return hls::write_multivariant(lists, shown, address_for, own);
 }
 
 // ---- media playlists ----
@@ -609,17 +628,24 @@
   const auto directory = hls::directory_of(base);
   if (own_rung && !viewer.pass.flat && place.starts_with(directory) && place.size() > directory.size())
     return place.substr(directory.size());
-  passes::Pass pass;
+  // Signed as the playlist's own address was: what is listed once is listed the same way each time.
+  auto pass = viewer.pass;
   pass.names = passes::Pass::Names::resource;
   pass.steady = viewer.wants == ViewerLink::Wants::media_list && viewer.pass.steady;
+  pass.flat = false;
   pass.plan = playback.plan;
   pass.rung = rung;
-  pass.reader = viewer.pass.reader;
   pass.title = playback.title;
   pass.sid = playback.sid;
-  pass.box = box.name;
   pass.place = place;
-  return std::string(pass_path) + keys_.write(wall(), pass) + "/" + std::string(file_of(place));
+  return address(pass);
+}
+
+// Signed as of now, or as the pass says that it was copied from.
+std::string Manager::address(passes::Pass pass) {
+  const Span at = pass.expires > Span(0) ? pass.expires - terms_.hls.passes.lifetime : wall();
+  const auto name = std::string(file_of(pass.place));
+  return std::string(pass_path) + keys_.write(at, std::move(pass)) + "/" + name;
 }
 
 std::variant<std::string, hls::Fault> Manager::media_text(const ViewerLink& viewer, Playback& playback,
@@ -650,8 +676,11 @@
     side.showing.handle(now_, hls::TargetIs{media->target, false});
   } else {
     side.showing.handle(now_, hls::TargetIs{media->target, true});
+    const auto beside = std::find_if(courses.begin(), courses.end(),
+                                     [&](const auto& other) { return other.first != viewer.pass.place; });
+    const hls::Continuity* other = beside == courses.end() ? nullptr : &beside->second;
     auto& course = courses[viewer.pass.place];
-    const auto went = course.take(now_, {media, server, rung});
+    const auto went = course.take(now_, {media, server, rung}, other);
     window = &course.window();
     if (went.step == hls::Course::Step::skipped || went.step == hls::Course::Step::began_anew)
       say("playlist_broke", {{"playback", said_id(playback.id)},
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -265,7 +265,9 @@
 // Which playback a request belongs to, and what it wants of it.
 void Manager::serve_media(ViewerLink& viewer) {
   if (stopping_) return answer(viewer, 503, "this front is stopping\n", {{"Retry-After", "1"}});
-  if (viewer.wants > ViewerLink::Wants::lists && !adopt(viewer)) return;
+  const bool by_address =
+      viewer.wants > ViewerLink::Wants::lists || viewer.pass.names == passes::Pass::Names::lists;
+  if (viewer.wants != ViewerLink::Wants::object && by_address && !adopt(viewer)) return;
   auto& playback = admit(viewer);
   viewer.playback = playback.id;
   if (viewer.wants != ViewerLink::Wants::object) hls_side(playback);
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -159,6 +159,7 @@
                           const std::string& base, std::string_view uri, hls::Tag of);
   std::string rendition_address(const ViewerLink& viewer, const Playback& playback, int rung, bool steady,
                                 bool flat, const std::string& place);
+  std::string address(passes::Pass pass);
   int rung_of(const Playback& playback, std::uint64_t bandwidth) const;
   void answer_list(ViewerLink& viewer, const Playback& playback, const std::string& text);
   Span wall() const { return terms_.hls.wall_at_zero + now_; }
--- a/src/passes/passes.h
+++ b/src/passes/passes.h
@@ -20,7 +20,8 @@
   enum class Names : std::uint8_t {
     rendition,  // `place` is its media playlist; what lies in the same directory goes with it
     resource,   // `place` is one thing alone
-    steering    // this playback's steering manifest
+    steering,   // this playback's steering manifest
+    lists       // `place` is its multivariant playlist, to be read again by the same player
   };
   Names names = Names::rendition;
   bool flat = false;    // of a rendition: its directory holds others' media too, and does not go with it
--- a/src/settings/deployment.cpp
+++ b/src/settings/deployment.cpp
@@ -100,6 +100,19 @@
         {"silence", span, as(Span(10s)), 0.1, day_s},
         {"stop", span, as(Span(5s)), 0.01, 3600}},
        true},
+      {"hls",
+       {{"secrets", texts, as(ListOf{})},
+        {"secrets_from", text, as(std::string())},
+        {"direct", flag, as(false)},
+        {"lifetime", span, as(Span(6h)), 1, 30 * day_s},
+        {"period", span, as(Span(1h)), 1, 30 * day_s},
+        {"players", whole, count(4), 1, 100},
+        {"list_bytes", whole, count(8 * 1024 * 1024), 1024, 1e9},
+        {"list_segments", whole, count(100'000), 1, 1e7},
+        {"kept_bytes", whole, count(64 * 1024 * 1024), 1024, 1e11},
+        {"steady", number, of(3), 0, 1000},
+        {"grace", number, of(3), 0, 1000}},
+       true},
       {"recording",
        {{"title", text, given},
         {"first_cell", whole, given, 0, 1e5},
@@ -218,6 +231,23 @@
       front.connect_limit = call.span("connect");
       front.silence = call.span("silence");
       front.stop_limit = call.span("stop");
+    } else if (call.name == "hls") {
+      made.hls = true;
+      made.hls_secrets_from = call.text("secrets_from");
+      auto& terms = front.hls;
+      terms.passes.secrets = call.texts("secrets");
+      for (const auto& secret : terms.passes.secrets) {
+        if (secret.empty()) wrong(call.place_of("secrets"), "an empty secret signs nothing");
+      }
+      terms.direct = call.flag("direct");
+      terms.passes.lifetime = call.span("lifetime");
+      terms.passes.period = call.span("period");
+      terms.most_readers = static_cast<int>(call.whole("players"));
+      terms.playlists.bytes = static_cast<std::size_t>(call.whole("list_bytes"));
+      terms.playlists.segments = static_cast<std::size_t>(call.whole("list_segments"));
+      terms.lists_kept_bytes = static_cast<std::size_t>(call.whole("kept_bytes"));
+      terms.show.steady_targets = call.number("steady");
+      terms.show.grace_targets = call.number("grace");
     } else if (call.name == "recording") {
       manager::Recording recording{
           call.text("title"),
--- a/src/settings/deployment.h
+++ b/src/settings/deployment.h
@@ -12,6 +12,8 @@
   std::uint16_t listen_port = 0;
   std::string control_address = "127.0.0.1";  // of the catalogue's resource
   std::uint16_t control_port = 0;
+  bool hls = false;              // the second front is wanted
+  std::string hls_secrets_from;  // a file, a secret a line; empty: those of the settings, or one of chance
   std::string keep_in;  // folder of what survives a restart; empty: nowhere
   // Terms that the rules are checked by; the module needs no more of them than it is given in `front`.
   Span drain_grace{2'000'000};
--- a/src/standins/day.cpp
+++ b/src/standins/day.cpp
@@ -30,7 +30,10 @@
                                  {Ill::roll, "roll"},
                                  {Ill::catalogue_moves, "catalogue_moves"},
                                  {Ill::feed_broken, "feed_broken"},
-                                 {Ill::stall, "stall"}};
+                                 {Ill::stall, "stall"},
+                                 {Ill::list_behind, "list_behind"},
+                                 {Ill::list_gaps, "list_gaps"},
+                                 {Ill::list_nonsense, "list_nonsense"}};
 
 template <typename Held>
 std::optional<Value> as(Held held) {
@@ -52,6 +55,7 @@
         {"list_lag", span, as(Span(1500ms)), 0, 600},
         {"setup_time", span, as(Span(40ms)), 0, 60},
         {"pace", number, as(1.25), 1, 100},
+        {"live_titles", part, as(0.0)},
         {"vary", part, as(0.15)}},
        true},
       {"viewers",
@@ -64,6 +68,7 @@
         {"hintless", part, as(0.05)},
         {"malformed", part, as(0.05)},
         {"small_screens", part, as(0.2)},
+        {"hls", part, as(0.0)},
         {"returns", part, as(0.9)},
         {"rejoin", span, as(Span(1s)), 0, 600},
         {"crowd_title", whole, as(std::int64_t{0}), 0, 1e6}},
@@ -143,6 +148,7 @@
   day.setup_time = said_boxes->span("setup_time");
   day.pace = said_boxes->number("pace");
   day.vary = said_boxes->number("vary");
+  day.live_titles = said_boxes->number("live_titles");
   std::minstd_rand chance(day.seed + 1);
   const auto& site = day.deployment.front.site;
   const double spread = said_boxes->number("spread");
@@ -170,6 +176,9 @@
   viewers.hintless = v.number("hintless");
   viewers.malformed = v.number("malformed");
   viewers.small_screens = v.number("small_screens");
+  viewers.hls = v.number("hls");
+  if (viewers.hls > 0 && !day.deployment.hls)
+    wrong(v.place_of("hls"), "viewers read HLS, and the settings lack 'hls'");
   viewers.returns = v.number("returns");
   viewers.rejoin = v.span("rejoin");
   viewers.crowd_title = static_cast<int>(v.whole("crowd_title"));
--- a/src/standins/day.h
+++ b/src/standins/day.h
@@ -36,6 +36,9 @@
   catalogue_moves,  // `size` times a second a recording moves to another box
   feed_broken,      // the catalogue's feed breaks off, leaves out batches, repeats them, or is refused
   stall,            // managers stand still
+  list_behind,      // a box's live playlists end `size` segments early
+  list_gaps,        // they lack segments, and number the rest as if those had never been
+  list_nonsense,    // a box's playlists are malformed or hostile
 };
 struct Trouble {
   Ill ill = Ill::crash;
@@ -53,6 +56,7 @@
   double hintless = 0;   // part of the viewers that send no CMCD
   double malformed = 0;  // and that send malformed ones
   double small_screens = 0.2;
+  double hls = 0;        // part of the viewers that read HLS
   double returns = 0.9;  // chance to come again after a refusal or a break
   Span rejoin{1'000'000};
   int crowd_title = 0;
@@ -66,8 +70,9 @@
   std::vector<BoxTerms> boxes;
   Span list_lag{1'500'000};
   Span setup_time{40'000};
-  double pace = 1.25;  // an object is sent at so many times its rate
-  double vary = 0.15;  // true rates leave the ladder by so much
+  double pace = 1.25;      // an object is sent at so many times its rate
+  double live_titles = 0;  // part of the titles that are live, for viewers that read HLS
+  double vary = 0.15;      // true rates leave the ladder by so much
   ViewerTerms viewers;
   std::vector<Trouble> troubles;
 };
--- a/src/standins/fleet.h
+++ b/src/standins/fleet.h
@@ -12,6 +12,7 @@
 #include "http/http.h"
 #include "seams/seams.h"
 #include "standins/day.h"
+#include "standins/hls_origin.h"
 #include "trace/trace.h"
 
 namespace violettide::standins {
@@ -50,8 +51,10 @@
     Span answer_at{0};
     std::string sid, trace, via, title, plan_name;
     int plan = 0, rung = 0, status = 0;
-    double left = 0;  // bytes of the object that are still to come
-    double rate = 0;  // bytes a second at which they go when the link is free
+    std::optional<HlsPath> hls;  // what was asked is HLS
+    bool packs = false;          // it takes gzip
+    double left = 0;             // bytes of the object that are still to come
+    double rate = 0;             // bytes a second at which they go when the link is free
     double credit = 0;
     bool close_after = false;
     std::optional<catalogue::Revision> feed_after;  // waits for changes behind it
@@ -76,6 +79,8 @@
   void put_listed(const Peer& peer, const std::string& title, const std::string& box, bool listed);
   void answer(Link link, Peer& peer, int status, http::Fields fields, const std::string& body,
               std::vector<Act>& acts);
+  void answer_list(Link link, Peer& peer, std::vector<Act>& acts);
+  ListIlls list_ills(int box) const;
   void begin_object(Link link, Peer& peer, std::vector<Act>& acts);
   void step(std::vector<Act>& acts);
   void live_through_troubles(std::vector<Act>& acts);
--- a/src/standins/viewers.cpp
+++ b/src/standins/viewers.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdio>
 
+#include "gzip/gzip.h"
 #include "hints/cmsd.h"
 
 namespace violettide::standins {
@@ -13,6 +14,8 @@
 using namespace std::chrono_literals;
 constexpr double most_buffer_objects = 3;
 constexpr int malformed_kinds = 6;
+constexpr std::size_t most_stamp = 256;  // bytes that a segment begins with
+constexpr int most_breaks = 3;           // in a row, before a player begins anew
 
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
 Span span_of(double s) { return Span(static_cast<std::int64_t>(s * 1e6)); }
@@ -135,10 +138,20 @@
       else
         viewer.state = State::over;
     } else if (bell == Bell::again) {
-      viewer.first = true;
-      ask(viewer, acts);
+      if (viewer.hls && viewer.goes_on) {
+        next_hls(viewer, acts);
+      } else {
+        viewer.first = true;
+        begin_hls(viewer);
+        ask(viewer, acts);
+      }
     } else if (bell == Bell::next_object) {
-      ask(viewer, acts);
+      if (viewer.hls && !viewer.first) {
+        next_hls(viewer, acts);
+      } else {
+        begin_hls(viewer);
+        ask(viewer, acts);
+      }
     }
     if (viewer.state == State::over) viewers_.erase(number);
   }
@@ -199,6 +212,8 @@
                 static_cast<unsigned>(chance_()));
   viewer.sid = sid;
   viewer.came = now_;
+  if (terms.hls > 0 && draw() < terms.hls) viewer.hls = std::make_unique<HlsPlayer>("", 0);
+  begin_hls(viewer);
   auto& kept = viewers_.emplace(viewer.number, std::move(viewer)).first->second;
   ask(kept, acts);
 }
@@ -222,7 +237,12 @@
     said.buffer_starved = std::exchange(viewer.starved, false);
     if (viewer.throughput > 0) said.measured_throughput = std::llround(viewer.throughput * 8 / 100) * 100;
   }
-  auto target = manager::path_text(front, path, viewer.top);
+  auto target = viewer.hls ? viewer.hls_ask.target : manager::path_text(front, path, viewer.top);
+  if (viewer.hls) {
+    said.format = hints::StreamingFormat::hls;
+    if (viewer.hls_ask.kind != HlsPlayer::Ask::Kind::segment) said.object_type = hints::ObjectType::manifest;
+    if (viewer.number % 3 == 0) fields.emplace_back("Accept-Encoding", "gzip");
+  }
   std::string more;
   if (viewer.hints == 0 && viewer.number % 2 == 0)
     target += "?CMCD=" + hints::cmcd_query(said);
@@ -257,6 +277,7 @@
   request_text(viewer);
   viewer.status = viewer.retry_after = 0;
   viewer.bytes = 0;
+  viewer.body.clear();
   viewer.answered = false;
   viewer.sent_at = now_;
   viewer.state = viewer.first ? State::asking : State::fetching;
@@ -283,11 +304,16 @@
   if (part.head) {
     viewer.status = part.head->status;
     viewer.answered = true;
+    viewer.packed = http::joined(part.head->fields, "Content-Encoding") == "gzip";
     if (const auto* wait = http::find(part.head->fields, "Retry-After"))
       viewer.retry_after = std::atoi(wait->c_str());
     const auto said = hints::read_cmsd(http::joined(part.head->fields, "CMSD-Static"),
                                        http::joined(part.head->fields, "CMSD-Dynamic"));
     const auto& rates = day_.deployment.front.site.rung_kb;
+    if (!said.hops.empty() && said.hops.back().max_suggested_bitrate)
+      viewer.suggested_bits = static_cast<double>(*said.hops.back().max_suggested_bitrate) * 1000;
+    if (const auto* again = http::find(part.head->fields, "Content-Location"); again && viewer.hls)
+      viewer.hls->lists_again_at(*again);
     if (said.fixed && said.fixed->bitrate) {
       const double kb = static_cast<double>(*said.fixed->bitrate) / 8 /
                         day_.deployment.front.site.plans[viewer.plan].rate_scale;
@@ -304,7 +330,12 @@
     }
   }
   viewer.bytes += part.body.size();
+  if (viewer.hls && (viewer.hls_ask.kind != HlsPlayer::Ask::Kind::segment || viewer.body.size() < most_stamp))
+    viewer.body += part.body;
   if (!part.done) return;
+  viewer.breaks = 0;
+  if (viewer.hls && viewer.status == 200) return hls_whole(viewer, acts);
+  if (viewer.hls && !viewer.first && hls_refused(viewer, acts)) return;
   if (viewer.status == 200 || viewer.status == 206) return object_whole(viewer, acts);
   const bool was_first = viewer.first;
   if (!was_first) put(trace::Passed::OBJECT, viewer, viewer.status);
@@ -339,11 +370,90 @@
   arm(viewer, room >= 0 ? 1ms : span_of(-room), Bell::next_object);
 }
 
+// ---- HLS ----
+
+void Viewers::begin_hls(Viewer& viewer) {
+  if (!viewer.hls) return;
+  const auto& front = day_.deployment.front;
+  const auto& plan = front.site.plans[viewer.plan];
+  const auto lists = "/" + http::percent_encoded(front.plans[viewer.plan].name) + "/" +
+                     http::percent_encoded(viewer.title) + "/index.m3u8";
+  viewer.hls = std::make_unique<HlsPlayer>(
+      lists, front.site.rung_kb[viewer.top] * plan.rate_scale * 8000 * (1 + 1e-6));
+  viewer.hls_ask = {HlsPlayer::Ask::Kind::lists, lists};
+  viewer.goes_on = false;
+}
+
+void Viewers::tell_wrongs(Viewer& viewer) {
+  for (const auto& what : viewer.hls->take_wrongs()) put(trace::Passed::UNSTEADY, viewer, 0, what);
+}
+
+void Viewers::next_hls(Viewer& viewer, std::vector<Act>& acts) {
+  drain_buffer(viewer);
+  const double room = (most_buffer_objects - 1) * viewer.hls->segment_length();
+  const auto next = viewer.hls->next(seconds(now_), viewer.buffer_s, room);
+  tell_wrongs(viewer);
+  if (std::holds_alternative<std::monostate>(next)) return leave(viewer, acts, "played to its end");
+  if (const auto* wait = std::get_if<double>(&next)) {
+    viewer.state = State::idle;
+    return arm(viewer, std::max(Span(1ms), span_of(*wait)), Bell::next_object);
+  }
+  viewer.hls_ask = std::get<HlsPlayer::Ask>(next);
+  ask(viewer, acts);
+}
+
+void Viewers::hls_whole(Viewer& viewer, std::vector<Act>& acts) {
+  drain_buffer(viewer);
+  viewer.first = false;
+  viewer.ever_played = true;
+  auto body = viewer.body;
+  if (viewer.packed) body = gzip::unpacked(body, 64 << 20).value_or("");
+  const bool segment = viewer.hls->took(seconds(now_), viewer.hls_ask, body);
+  tell_wrongs(viewer);
+  if (segment) {
+    viewer.throughput =
+        static_cast<double>(viewer.bytes) / 1000 / std::max(0.001, seconds(now_ - viewer.sent_at));
+    viewer.hls->line(seconds(now_ - viewer.sent_at), viewer.suggested_bits);
+    viewer.buffer_s += viewer.hls->segment_length();
+    viewer.left_to_watch -= span_of(viewer.hls->segment_length());
+    viewer.rung = viewer.hls->rung();
+    ++viewer.object;
+    put(trace::Passed::OBJECT, viewer, viewer.status);
+    if (viewer.left_to_watch <= 0s) return leave(viewer, acts, "seen");
+  }
+  viewer.state = State::idle;
+  arm(viewer, 1ms, Bell::next_object);
+}
+
+// An address that is answered otherwise than with what it names.
+bool Viewers::hls_refused(Viewer& viewer, std::vector<Act>& acts) {
+  put(trace::Passed::OBJECT, viewer, viewer.status);
+  const auto pause = viewer.retry_after > 0 ? span_of(viewer.retry_after * (1 + 0.5 * draw()))
+                                            : span_of(seconds(day_.viewers.rejoin) * 0.25);
+  if (viewer.status == 404 || viewer.status == 503) {
+    if (viewer.status == 404) viewer.hls->refused(seconds(now_), viewer.hls_ask);
+    viewer.goes_on = true;
+    rest(viewer, pause, acts);
+    return true;
+  }
+  // Over, or lost: it is opened anew, as its viewer would.
+  viewer.goes_on = false;
+  rest(viewer, pause, acts);
+  return true;
+}
+
 void Viewers::broke(Viewer& viewer, std::vector<Act>& acts, bool refused) {
   const bool under_way = viewer.state == State::asking || viewer.state == State::fetching;
   const bool unanswered = viewer.state == State::asking && !viewer.answered;
   if (unanswered) put(trace::Passed::ANSWERED, viewer, 0, refused ? "refused" : "");
   hang(viewer, acts);
+  if (viewer.hls && !viewer.first) {
+    // Its addresses are good for longer than a connection.
+    viewer.hls->broke();
+    viewer.goes_on = ++viewer.breaks < most_breaks;
+    if (viewer.state == State::idle) return;
+    return rest(viewer, span_of(seconds(day_.viewers.rejoin) * (0.25 + 0.5 * draw())), acts);
+  }
   if (!under_way) {  // between objects: the next one is asked on a new connection, as a playback anew
     viewer.first = true;
     return;
--- a/src/standins/viewers.h
+++ b/src/standins/viewers.h
@@ -11,6 +11,7 @@
 #include "http/http.h"
 #include "seams/seams.h"
 #include "standins/day.h"
+#include "standins/hls_player.h"
 #include "trace/trace.h"
 #include "wheel/wheel.h"
 
@@ -49,6 +50,13 @@
     double buffer_s = 0;
     double throughput = 0;  // kB a second, of the last object
     std::uint64_t bytes = 0;
+    std::unique_ptr<HlsPlayer> hls;  // it reads HLS
+    HlsPlayer::Ask hls_ask;
+    std::string body;
+    bool packed = false;
+    double suggested_bits = 0;
+    bool goes_on = false;  // where its playlists left it, on a new connection
+    int breaks = 0;        // in a row
     int object = 0, status = 0, retry_after = 0, rung = 0;
     Wheel<std::uint64_t>::Handle timer;
   };
@@ -56,6 +64,11 @@
   void arrive(std::vector<Act>& acts, bool crowd);
   void ask(Viewer& viewer, std::vector<Act>& acts);
   void request_text(Viewer& viewer);
+  void begin_hls(Viewer& viewer);
+  void next_hls(Viewer& viewer, std::vector<Act>& acts);
+  void hls_whole(Viewer& viewer, std::vector<Act>& acts);
+  bool hls_refused(Viewer& viewer, std::vector<Act>& acts);
+  void tell_wrongs(Viewer& viewer);
   void came_part(Viewer& viewer, http::ResponseReader::Part part, std::vector<Act>& acts);
   void object_whole(Viewer& viewer, std::vector<Act>& acts);
   void broke(Viewer& viewer, std::vector<Act>& acts, bool refused = false);
--- a/tests/program/hls_front_test.cpp
+++ b/tests/program/hls_front_test.cpp
@@ -375,6 +375,8 @@
   EXPECT_TRUE(shown[5].ends_with("/s16.m4s"));
   EXPECT_NE(list.body.find("#EXT-X-DISCONTINUITY"), std::string::npos);
   EXPECT_EQ(get(shown[5]).body, "r0/16") << "the lower rung's own segment";
+  net.run(net.now() + 1500ms);
+  EXPECT_EQ(uris(get(media[2]).body), shown) << "what is listed once is listed the same way each time";
   EXPECT_EQ(get(beside(media[2], "s12.m4s")).body, "r2/12") << "listed not long ago";
   net.run(net.now() + 6500ms);
   get(media[1]);
