--- a/src/cli/day.cpp
+++ b/src/cli/day.cpp
@@ -116,6 +116,12 @@
       : words_(words), day_(day), folder_(std::move(folder)), trace_(folder_ + "/day.trace") {}
 
   void run() {
+    // Guards against the ports and logs of a day that was played in this folder before.
+    for (const auto& entry : std::filesystem::directory_iterator(folder_)) {
+      const auto kind = entry.path().extension();
+      if (kind == ".ports" || kind == ".port" || kind == ".log" || kind == ".err")
+        std::filesystem::remove(entry.path());
+    }
     const auto zero = runtime::Loop::machine_clock_us() + 1'500'000;  // for everybody to have started
     const auto zero_text = std::to_string(zero);
     Child boxes({"violettide", "boxes", words_.day, "--folder", folder_, "--zero-us", zero_text, "--ports-to",
--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -50,6 +50,7 @@
     // A list of renditions and an audio track are of no rung.
     const bool of_none = peer->hls && (peer->hls->audio || peer->hls->names == HlsPath::Names::lists);
     record.set_rung(of_none ? -1 : peer->rung);
+    if (peer->hls) record.set_state("hls");
   }
   sink_(record);
 }
--- a/src/standins/hls_player.h
+++ b/src/standins/hls_player.h
@@ -32,7 +32,10 @@
   // 404 for a segment: its rendition is not listed any more, or the box lacks it.
   void refused(double at, const Ask& ask);
   // The connection broke: what is asked next may be answered by another process.
-  void broke() { parted_ = true; }
+  void broke() {
+    parted_ = true;
+    for (auto& [target, media] : media_) media.items.clear();
+  }
   double segment_length() const { return length_; }
   int rung() const { return rung_; }
   std::size_t skipped() const { return skipped_; }
