--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -119,8 +119,8 @@
   PlaybackId next = 0;
   const auto begin = [&] {
     const auto id = next++;
-    const auto orders =
-        brain.handle(now, Request{id, 0, id % 100, now + 4s, std::nullopt, static_cast<int>(id % 8), 3, 1, nullptr});
+    const auto orders = brain.handle(
+        now, Request{id, 0, id % 100, now + 4s, std::nullopt, static_cast<int>(id % 8), 3, 1, nullptr});
     ServerId server = 0;
     for (const auto& order : orders) {
       if (const auto* set_up = std::get_if<SetUp>(&order)) server = set_up->server;
@@ -162,6 +162,8 @@
 }  // namespace violettide::bench
 
 int main(int count, char** words) {
+  // One table alone, by its name.
+  if (count == 2 && std::string(words[1]) == "hls") return violettide::bench::hls_table(), 0;
   benchmark::Initialize(&count, words);
   if (benchmark::ReportUnrecognizedArguments(count, words)) return 1;
   benchmark::RunSpecifiedBenchmarks();
@@ -171,6 +173,7 @@
     const auto time = violettide::bench::set_up_time(10'000, 5'000, changes);
     std::printf("%4zu changes: median %.1f us, 99th %.1f us\n", changes, time.median_us, time.p99_us);
   }
+  violettide::bench::hls_table();
   violettide::bench::catalogue_table(1'000'000);
   return 0;
 }
--- a/bench/path.h
+++ b/bench/path.h
@@ -30,4 +30,7 @@
 // Memory, look-up and the cost of a change of a catalogue of so many recordings, and of opening it.
 void catalogue_table(std::size_t recordings);
 
+// Playlists: cost of reading and writing, reload storms, memory a session.
+void hls_table();
+
 }  // namespace violettide::bench
--- a/src/hls/playlist.cpp
+++ b/src/hls/playlist.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <cstring>
 
 namespace violettide::hls {
 
@@ -147,6 +148,16 @@
 
 Fault fault_of(const Met& met, std::string_view text) { return fault_at(text, met.at, met.cause); }
 
+// By blocks first: where lists agree, they agree for long.
+std::uint32_t common_length(std::string_view a, std::string_view b) {
+  constexpr std::size_t block = 4096;
+  const auto most = std::min(a.size(), b.size());
+  std::size_t at = 0;
+  while (at + block <= most && std::memcmp(a.data() + at, b.data() + at, block) == 0) at += block;
+  while (at < most && a[at] == b[at]) ++at;
+  return static_cast<std::uint32_t>(at);
+}
+
 class MediaReader {
  public:
   MediaReader(Media& media, const Limits& limits, const Variables& given, const Media* before)
@@ -381,13 +392,7 @@
       return;
     const auto now_text = std::string_view(media_.text).substr(first.lines.to);
     const auto old_text = std::string_view(old.text).substr(same.lines.to);
-    const auto common = static_cast<std::uint32_t>(
-        std::mismatch(
-            now_text.begin(),
-            now_text.begin() + static_cast<std::ptrdiff_t>(std::min(now_text.size(), old_text.size())),
-            old_text.begin())
-            .first -
-        now_text.begin());
+    const auto common = common_length(now_text, old_text);
     const auto shift = static_cast<std::int64_t>(first.lines.to) - static_cast<std::int64_t>(same.lines.to);
     const auto moved = [&](Range range) {
       return Range{static_cast<std::uint32_t>(range.from + shift),
--- a/src/manager/hls_door.cpp
+++ b/src/manager/hls_door.cpp
@@ -48,6 +48,22 @@
   return std::nullopt;
 }
 
+// What EXT-X-DEFINE may take: of the multivariant playlist, and of the address's query.
+hls::Variables with_query(hls::Variables variables, std::string_view target) {
+  const auto from = target.find('?');
+  for (auto at = from; at != std::string_view::npos;) {
+    const auto end = target.find('&', at + 1);
+    const auto one = target.substr(at + 1, end == std::string_view::npos ? end : end - at - 1);
+    const auto equals = one.find('=');
+    if (equals != std::string_view::npos) {
+      if (auto value = http::percent_decoded(one.substr(equals + 1)))
+        variables.insert_or_assign(std::string(one.substr(0, equals)), std::move(*value));
+    }
+    at = end;
+  }
+  return variables;
+}
+
 std::string key_of(int plan, const std::string& title, const std::string& sid) {
   return std::to_string(plan) + '/' + title + "/s" + sid;
 }
@@ -461,8 +477,7 @@
 std::variant<std::string, hls::Fault> Manager::lists_text(ViewerLink& viewer, Playback& playback,
                                                           const std::string& target, std::string text) {
   auto& side = *playback.hls;
-  hls::Variables given;
-  auto read = hls::read_multivariant(std::move(text), terms_.hls.playlists, given);
+  auto read = hls::read_multivariant(std::move(text), terms_.hls.playlists, with_query({}, target));
   if (const auto* fault = std::get_if<hls::Fault>(&read)) return *fault;
   const auto& lists = std::get<hls::Multivariant>(read);
   // Where each playlist lies; those whose directory holds another's give no right to all that is in it.
@@ -538,7 +553,7 @@
   viewer.pass.box.clear();
   const auto address_for = [&](std::string_view uri, hls::Tag of, std::size_t index) -> hls::Address {
     if (of == hls::Tag::session_data || of == hls::Tag::session_key)
-      return address_of(viewer, playback, playback.server, 0, target, uri, of);
+      return address_of(viewer, playback, playback.server, 0, target, lists.variables, uri, of);
     const auto& placed = places.find(uri)->second;
     const bool variant = of == hls::Tag::stream_inf;
     return rendition_address(viewer, playback, variant ? rungs[index] : 0, !variant, placed.flat,
@@ -599,10 +614,10 @@
 }
 
 // Where at the box a URI of its playlist leads; nothing: to another service, whose it stays.
-hls::Address Manager::place_at(const Playback& playback, ServerId server, const std::string& base,
+hls::Address Manager::place_at(const hls::Variables& variables, ServerId server, const std::string& base,
                                std::string_view uri, hls::Tag of) const {
   const auto& box = list_.box(server);
-  const auto plain = hls::substituted(uri, playback.hls->variables);
+  const auto plain = hls::substituted(uri, variables);
   if (!plain) return hls::NoAddress{"a variable without a value"};
   const auto resolved = hls::resolve(base, *plain);
   if (const auto* target = std::get_if<hls::Target>(&resolved)) return target->text;
@@ -618,9 +633,10 @@
 }
 
 hls::Address Manager::address_of(const ViewerLink& viewer, const Playback& playback, ServerId server,
-                                 int rung, const std::string& base, std::string_view uri, hls::Tag of) {
+                                 int rung, const std::string& base, const hls::Variables& variables,
+                                 std::string_view uri, hls::Tag of) {
   const auto& box = list_.box(server);
-  auto placed = place_at(playback, server, base, uri, of);
+  auto placed = place_at(variables, server, base, uri, of);
   if (!std::holds_alternative<std::string>(placed)) return placed;
   const auto place = std::get<std::string>(std::move(placed));
   if (terms_.hls.direct) return "http://" + box.address + ":" + std::to_string(box.port) + place;
@@ -652,14 +668,14 @@
                                                           ServerId server, const std::string& target,
                                                           std::string text) {
   auto& side = *playback.hls;
-  auto read = read_list(server, target, std::move(text), side.variables);
+  auto read = read_list(server, target, std::move(text), with_query(side.variables, target));
   if (const auto* fault = std::get_if<hls::Fault>(&read)) return *fault;
   const auto media = std::get<std::shared_ptr<const hls::Media>>(read);
   side.target = media->target;
   const int rung = viewer.fill_rung;
   // Guards against one bad list staying in a player's course: it is looked through before it is taken.
   for (const auto& uri : media->uris) {
-    const auto placed = place_at(playback, server, target, uri.at.of(media->text), uri.of);
+    const auto placed = place_at(media->variables, server, target, uri.at.of(media->text), uri.of);
     if (const auto* none = std::get_if<hls::NoAddress>(&placed))
       return hls::fault_at(media->text, uri.at.from, none->cause);
   }
@@ -715,7 +731,7 @@
       }
       return prefix + std::string(uri);
     }
-    return address_of(viewer, playback, piece.source, piece.rung, base, uri, of);
+    return address_of(viewer, playback, piece.source, piece.rung, base, piece.from->variables, uri, of);
   };
   return hls::write_window(*window, terms);
 }
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -153,10 +153,11 @@
                                                                         const std::string& target,
                                                                         std::string text,
                                                                         const hls::Variables& variables);
-  hls::Address place_at(const Playback& playback, ServerId server, const std::string& base,
+  hls::Address place_at(const hls::Variables& variables, ServerId server, const std::string& base,
                         std::string_view uri, hls::Tag of) const;
   hls::Address address_of(const ViewerLink& viewer, const Playback& playback, ServerId server, int rung,
-                          const std::string& base, std::string_view uri, hls::Tag of);
+                          const std::string& base, const hls::Variables& variables, std::string_view uri,
+                          hls::Tag of);
   std::string rendition_address(const ViewerLink& viewer, const Playback& playback, int rung, bool steady,
                                 bool flat, const std::string& place);
   std::string address(passes::Pass pass);
--- a/tests/program/hls_front_test.cpp
+++ b/tests/program/hls_front_test.cpp
@@ -422,6 +422,21 @@
       << "its list's address is not good for another rung";
 }
 
+TEST_F(Front, VariablesOfTheListsAndOfTheirAddressesAreFilledIn) {
+  put("/a/t/index.m3u8",
+      "#EXTM3U\n#EXT-X-DEFINE:NAME=\"dir\",VALUE=\"media\"\n#EXT-X-DEFINE:QUERYPARAM=\"q\"\n"
+      "#EXT-X-STREAM-INF:BANDWIDTH=110000\n{$dir}/index.m3u8?k={$q}\n");
+  put("/a/t/media/index.m3u8",
+      "#EXTM3U\n#EXT-X-TARGETDURATION:2\n#EXT-X-DEFINE:IMPORT=\"dir\"\n#EXT-X-DEFINE:QUERYPARAM=\"k\"\n"
+      "#EXTINF:2,\n../{$dir}/s{$k}.m4s\n#EXT-X-ENDLIST\n");
+  put("/a/t/media/s7.m4s", "seven");
+  const auto media = uris(get("/a/t/index.m3u8?q=7", sid).body);
+  ASSERT_EQ(media.size(), 1u);
+  const auto list = get(media[0]);
+  ASSERT_EQ(uris(list.body).size(), 1u) << list.head << list.body;
+  EXPECT_EQ(get(beside(media[0], uris(list.body)[0])).body, "seven");
+}
+
 TEST_F(Front, AnOldAddressGetsWhatItsPlanAllows) {
   lay("a", "t", recorded(5));
   lay("paid", "t", recorded(5));
