Count a team's seats once across managers: a ledger, searched in every order

Need: managers of a hall share nothing, and a viewer who retries at another is the same seat; a customer's seats must never be exceeded, whatever crashes or is lost.

Change: src/entitlement/ledger, a core of one owner a team (rendezvous hashing), its book kept on the disk before anything is given, seats held until their token's expiry and grace at the longest, claims numbered over restarts so that late copies do nothing. A model runs the very code through crashes, losses, copies and time.

A walk found one real fault: a claim whose seat was taken while it was being kept got no answer.

--- /dev/null
+++ b/src/entitlement/ledger/ledger.cpp
@@ -0,0 +1,493 @@
+#include "entitlement/ledger/ledger.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace violettide::entitlement {
+
+namespace {
+
+template <typename... Visitors>
+struct Each : Visitors... {
+  using Visitors::operator()...;
+};
+
+class Print {
+ public:
+  Print& operator<<(const std::string& text) {
+    made += text;
+    made += '|';
+    return *this;
+  }
+  Print& operator<<(std::int64_t number) { return *this << std::to_string(number); }
+  std::string made;
+};
+
+}  // namespace
+
+Peer owner_of(const LedgerTerms& terms, std::string_view team) {
+  Peer best = 0;
+  std::uint64_t most = 0;
+  for (Peer peer = 0; peer < terms.peers.size(); ++peer) {
+    const auto& name = terms.peers[peer];
+    const auto weight = XXH64(team.data(), team.size(), XXH64(name.data(), name.size(), 0));
+    if (peer == 0 || weight > most) best = peer, most = weight;
+  }
+  return best;
+}
+
+Ledger::Ledger(LedgerTerms terms, std::uint32_t restart, Span now, const std::vector<Record>& kept)
+    : terms_(std::move(terms)), now_(now), next_number_(static_cast<ClaimNumber>(restart) << 32 | 1) {
+  for (const auto& record : kept) {
+    switch (record.what) {
+      case Record::What::asked: {
+        Own own;
+        own.state = Own::State::restored;
+        own.number = record.number;
+        own.seats = record.seats;
+        own.issued = record.issued;
+        own.until = own.held_until = record.until;
+        own.asked_at = now;
+        own_[record.key] = own;
+        break;
+      }
+      case Record::What::gave_back:
+        if (const auto found = own_.find(record.key); found != own_.end() &&
+                                                      found->second.number <= record.number &&
+                                                      !terms_.planted.keeps_after_restart)
+          own_.erase(found);
+        break;
+      case Record::What::given: {
+        auto& team = team_of(record.key.team);
+        if (record.issued >= team.issued) team.seats = record.seats, team.issued = record.issued;
+        team.held[record.key.who] = {record.holder, record.number, record.until, 0, {}};
+        break;
+      }
+      case Record::What::freed: {
+        auto& team = team_of(record.key.team);
+        const auto seat = team.held.find(record.key.who);
+        if (seat != team.held.end() && seat->second.holder == record.holder &&
+            seat->second.number == record.number)
+          team.held.erase(seat);
+        if (record.until > now) team.over[{record.key.who, record.holder}] = {record.number, record.until};
+        break;
+      }
+    }
+  }
+}
+
+std::vector<LedgerAct> Ledger::handle(Span now, const LedgerEvent& event) {
+  std::vector<LedgerAct> acts;
+  acts_ = &acts;
+  now_ = std::max(now_, now);
+  std::visit([this](const auto& what) { on(what); }, event);
+  pass_time();
+  // What a manager tells itself goes the way that others' words go.
+  while (!to_self_.empty()) {
+    const auto message = std::move(to_self_.front());
+    to_self_.pop_front();
+    std::visit([this](const auto& said) { heard(terms_.own, said); }, message);
+  }
+  acts_ = nullptr;
+  return acts;
+}
+
+void Ledger::tell(Peer to, Message message) {
+  if (to == terms_.own)
+    to_self_.push_back(std::move(message));
+  else
+    acts_->push_back(Tell{to, std::move(message)});
+}
+
+std::uint64_t Ledger::keep(Record record) {
+  acts_->push_back(KeepRecord{next_ticket_, std::move(record)});
+  return next_ticket_++;
+}
+
+Ledger::Team& Ledger::team_of(const std::string& name) { return teams_[name]; }
+
+// ---- this manager's playbacks ----
+
+void Ledger::on(const Claimed& what) {
+  if (what.until <= now_) {
+    acts_->push_back(TurnAway{TurnAway::Why::too_late, what.key, Span(0)});
+    return;
+  }
+  const auto found = own_.find(what.key);
+  if (found != own_.end()) {
+    auto& own = found->second;
+    switch (own.state) {
+      case Own::State::restored:
+        // A viewer that comes back after a restart. Whether its claim was ever answered is the owner's to
+        // say: asked by the same number, it is the same seat or none.
+        own.until = std::max(own.until, what.until);
+        own.asked_at = now_;
+        own.state = terms_.planted.keeps_after_restart ? Own::State::held : Own::State::keeping;
+        if (own.state == Own::State::held) {
+          acts_->push_back(Admit{what.key, own.held_until});
+          return;
+        }
+        own.ticket =
+            keep({Record::What::asked, what.key, terms_.own, own.number, own.seats, own.issued, own.until});
+        return;
+      case Own::State::held:
+        // Its seat is here already: a retry, or a renewal.
+        acts_->push_back(Admit{what.key, own.held_until});
+        if (what.until > own.until) {
+          own.until = what.until;
+          own.seats = what.seats;
+          own.issued = what.issued;
+          own.renewing = true;
+          own.asked_at = now_;
+          own.ticket =
+              keep({Record::What::asked, what.key, terms_.own, own.number, own.seats, own.issued, own.until});
+        }
+        return;
+      case Own::State::keeping:
+      case Own::State::asking:
+        own.until = std::max(own.until, what.until);
+        return;  // one claim is out for it; its answer is for both
+      case Own::State::returning:
+        break;  // asked for anew, by a claim of its own
+    }
+  }
+  if (own_.size() >= terms_.most_claims && found == own_.end()) {
+    acts_->push_back(TurnAway{TurnAway::Why::too_many, what.key, terms_.ask_limit});
+    return;
+  }
+  Own own;
+  own.number = next_number_++;
+  own.seats = what.seats;
+  own.issued = what.issued;
+  own.until = what.until;
+  own.asked_at = now_;
+  // Kept before it is asked: after a crash this manager knows that it may hold the seat.
+  own.ticket =
+      keep({Record::What::asked, what.key, terms_.own, own.number, own.seats, own.issued, own.until});
+  own_[what.key] = own;
+}
+
+void Ledger::on(const Left& what) {
+  const auto found = own_.find(what.key);
+  if (found == own_.end() || found->second.state == Own::State::returning) return;
+  give_back(found->first, found->second);
+}
+
+void Ledger::give_back(const SeatKey& key, Own& own) {
+  own.state = Own::State::returning;
+  own.renewing = false;
+  own.sent_at = now_;
+  tell(owner_of(terms_, key.team), GiveBack{key, own.number, own.until});
+}
+
+void Ledger::send(const SeatKey& key, Own& own) {
+  own.sent_at = now_;
+  tell(owner_of(terms_, key.team), AskSeat{key, own.number, own.seats, own.issued, own.until});
+}
+
+void Ledger::on(const Kept& what) {
+  for (auto& [key, own] : own_) {
+    if (own.ticket == 0 || own.ticket > what.ticket) continue;
+    own.ticket = 0;
+    if (own.state == Own::State::keeping) own.state = Own::State::asking;
+    if (own.state == Own::State::asking || own.renewing) send(key, own);
+  }
+  for (auto& [name, team] : teams_) {
+    for (auto& [who, seat] : team.held) {
+      if (seat.ticket == 0 || seat.ticket > what.ticket) continue;
+      seat.ticket = 0;
+      if (seat.taken_from) {
+        tell(seat.taken_from->first, SeatTaken{{name, who}, seat.taken_from->second});
+        seat.taken_from.reset();
+      }
+      if (!terms_.planted.answers_unkept) tell(seat.holder, SeatGiven{{name, who}, seat.number, seat.until});
+    }
+  }
+}
+
+void Ledger::on(const Heard& what) {
+  std::visit([&](const auto& said) { heard(what.from, said); }, what.message);
+}
+
+void Ledger::heard(Peer from, const SeatGiven& given) {
+  const auto found = own_.find(given.key);
+  // A late answer to a claim that is over: what it gave is given back by number, again and again until heard.
+  if (found == own_.end() || found->second.number != given.number || from != owner_of(terms_, given.key.team))
+    return;
+  auto& own = found->second;
+  if (own.state == Own::State::asking) {
+    own.state = Own::State::held;
+    own.held_until = given.until;
+    acts_->push_back(Admit{given.key, given.until});
+  } else if (own.state == Own::State::held && given.until > own.held_until) {
+    own.held_until = given.until;
+    acts_->push_back(Admit{given.key, given.until});
+  }
+  if (own.held_until >= own.until) own.renewing = false;
+}
+
+void Ledger::heard(Peer from, const SeatRefused& refused) {
+  const auto found = own_.find(refused.key);
+  if (found == own_.end() || found->second.number != refused.number ||
+      from != owner_of(terms_, refused.key.team))
+    return;
+  auto& own = found->second;
+  if (own.state == Own::State::asking) {
+    acts_->push_back(TurnAway{TurnAway::Why::no_seat, refused.key, refused.free_in});
+    // The owner has nothing of it; that is kept, so that a restart does not ask about it.
+    keep({Record::What::gave_back, refused.key, terms_.own, own.number, 0, Span(0), own.until});
+    own_.erase(found);
+  } else if (own.state == Own::State::held) {
+    own.renewing = false;  // it plays to the end of what it has
+  }
+}
+
+void Ledger::heard(Peer from, const GivenBack& back) {
+  const auto found = own_.find(back.key);
+  if (found == own_.end() || found->second.number != back.number ||
+      found->second.state != Own::State::returning || from != owner_of(terms_, back.key.team))
+    return;
+  keep({Record::What::gave_back, back.key, terms_.own, back.number, 0, Span(0), found->second.until});
+  own_.erase(found);
+}
+
+void Ledger::heard(Peer from, const SeatTaken& taken) {
+  const auto found = own_.find(taken.key);
+  if (found == own_.end() || found->second.number != taken.number || from != owner_of(terms_, taken.key.team))
+    return;
+  if (found->second.state == Own::State::held)
+    acts_->push_back(EndPlayback{EndPlayback::Why::elsewhere, taken.key});
+  else if (found->second.state == Own::State::asking || found->second.state == Own::State::keeping)
+    acts_->push_back(TurnAway{TurnAway::Why::no_seat, taken.key, Span(0)});
+  keep({Record::What::gave_back, taken.key, terms_.own, taken.number, 0, Span(0), found->second.until});
+  own_.erase(found);
+}
+
+// ---- the owner's book ----
+
+void Ledger::free_lapsed(Team& team, const std::string& name) {
+  for (auto it = team.held.begin(); it != team.held.end();) {
+    // Its holder's clock may be behind ours by the skew, and it plays to the end of what it has.
+    if (it->second.until + terms_.skew > now_) {
+      ++it;
+      continue;
+    }
+    keep({Record::What::freed,
+          {name, it->first},
+          it->second.holder,
+          it->second.number,
+          0,
+          Span(0),
+          it->second.until});
+    it = team.held.erase(it);
+  }
+  std::erase_if(team.over, [&](const auto& entry) { return entry.second.second + terms_.skew <= now_; });
+}
+
+void Ledger::heard(Peer from, const AskSeat& ask) {
+  if (owner_of(terms_, ask.key.team) != terms_.own) return;
+  auto& team = team_of(ask.key.team);
+  free_lapsed(team, ask.key.team);
+  const auto refuse = [&] {
+    Span first = Span::max();
+    for (const auto& [who, seat] : team.held) first = std::min(first, seat.until + terms_.skew - now_);
+    tell(from, SeatRefused{ask.key, ask.number, first == Span::max() ? Span(0) : first});
+  };
+  // Guards against a copy of a claim that is over: it was given back, or its token is past its time.
+  const auto over = team.over.find({ask.key.who, from});
+  if (ask.until <= now_ - terms_.skew || (over != team.over.end() && ask.number <= over->second.first))
+    return refuse();
+  if (ask.issued >= team.issued) {
+    team.issued = ask.issued;
+    team.seats = ask.seats;
+  }
+  const auto found = team.held.find(ask.key.who);
+  if (found != team.held.end()) {
+    auto& seat = found->second;
+    if (seat.holder == from && ask.number < seat.number) return;  // a copy of an older claim
+    const bool moved = seat.holder != from || seat.number != ask.number;
+    if (!moved && ask.until <= seat.until) {
+      if (seat.ticket == 0) tell(from, SeatGiven{ask.key, seat.number, seat.until});
+      return;
+    }
+    if (seat.holder != from) {
+      // The same viewer at another manager: the same seat. What it had there is over, and a late copy of that
+      // claim must not bring it back.
+      team.over[{ask.key.who, seat.holder}] = {seat.number, std::max(seat.until, ask.until)};
+      seat.taken_from = std::pair(seat.holder, seat.number);
+    }
+    seat.holder = from;
+    seat.number = ask.number;
+    seat.until = std::max(seat.until, ask.until);
+  } else {
+    if (static_cast<int>(team.held.size()) >= team.seats) return refuse();
+    team.held[ask.key.who] = {from, ask.number, ask.until, 0, {}};
+  }
+  auto& seat = team.held[ask.key.who];
+  // On the disk before it is given: after a crash the book must not be shorter than what was given out.
+  seat.ticket = keep({Record::What::given, ask.key, from, seat.number, team.seats, team.issued, seat.until});
+  // Behind it, so that no crash between them frees what may still be played.
+  if (seat.taken_from)
+    keep({Record::What::freed, ask.key, seat.taken_from->first, seat.taken_from->second, 0, Span(0),
+          seat.until});
+  if (terms_.planted.answers_unkept) tell(from, SeatGiven{ask.key, seat.number, seat.until});
+}
+
+void Ledger::heard(Peer from, const GiveBack& back) {
+  if (owner_of(terms_, back.key.team) != terms_.own) return;
+  auto& team = team_of(back.key.team);
+  const auto seat = team.held.find(back.key.who);
+  Span until = back.until;
+  if (seat != team.held.end() && ((seat->second.holder == from && seat->second.number <= back.number) ||
+                                  terms_.planted.release_by_key)) {
+    until = seat->second.until;
+    keep({Record::What::freed, back.key, seat->second.holder, seat->second.number, 0, Span(0), until});
+    team.held.erase(seat);
+  }
+  // The claim itself may still be on its way, or a copy of it.
+  auto& over = team.over[{back.key.who, from}];
+  over = {std::max(over.first, back.number), std::max(over.second, until)};
+  tell(from, GivenBack{back.key, back.number});
+}
+
+// ---- time ----
+
+void Ledger::on(const Ticked&) {
+  for (auto it = teams_.begin(); it != teams_.end();) {
+    free_lapsed(it->second, it->first);
+    it = it->second.held.empty() && it->second.over.empty() ? teams_.erase(it) : std::next(it);
+  }
+}
+
+void Ledger::pass_time() {
+  std::vector<SeatKey> over;
+  for (auto& [key, own] : own_) {
+    switch (own.state) {
+      case Own::State::keeping:
+      case Own::State::asking:
+        if (now_ - own.asked_at >= terms_.ask_limit) {
+          // Whether it was given is not known: it is given back until the owner says that it heard.
+          acts_->push_back(TurnAway{TurnAway::Why::owner_silent, key, terms_.ask_limit});
+          if (own.state == Own::State::keeping && own.ticket != 0) own.ticket = 0;
+          give_back(key, own);
+        } else if (own.state == Own::State::asking && now_ - own.sent_at >= terms_.ask_again) {
+          send(key, own);
+        }
+        break;
+      case Own::State::held:
+        if (own.held_until <= now_) {
+          acts_->push_back(EndPlayback{EndPlayback::Why::lapsed, key});
+          over.push_back(key);
+        } else if (own.renewing && own.ticket == 0 && now_ - own.sent_at >= terms_.ask_again) {
+          send(key, own);
+        }
+        break;
+      case Own::State::restored:
+        if (own.held_until <= now_)
+          over.push_back(key);
+        else if (now_ - own.asked_at >= terms_.resume)
+          give_back(key, own);
+        break;
+      case Own::State::returning:
+        // Past its time the owner has freed it by itself.
+        if (own.until + 2 * terms_.skew <= now_)
+          over.push_back(key);
+        else if (now_ - own.sent_at >= terms_.ask_again)
+          give_back(key, own);
+        break;
+    }
+  }
+  for (const auto& key : over) {
+    keep({Record::What::gave_back, key, terms_.own, own_[key].number, 0, Span(0), own_[key].until});
+    own_.erase(key);
+  }
+}
+
+std::optional<Span> Ledger::next() const {
+  std::optional<Span> at;
+  const auto sooner = [&](Span when) { at = at ? std::min(*at, when) : when; };
+  for (const auto& [key, own] : own_) {
+    switch (own.state) {
+      case Own::State::keeping:
+        sooner(own.asked_at + terms_.ask_limit);
+        break;
+      case Own::State::asking:
+        sooner(std::min(own.asked_at + terms_.ask_limit, own.sent_at + terms_.ask_again));
+        break;
+      case Own::State::held:
+        sooner(own.held_until);
+        if (own.renewing && own.ticket == 0) sooner(own.sent_at + terms_.ask_again);
+        break;
+      case Own::State::restored:
+        sooner(std::min(own.held_until, own.asked_at + terms_.resume));
+        break;
+      case Own::State::returning:
+        sooner(std::min(own.until + 2 * terms_.skew, own.sent_at + terms_.ask_again));
+        break;
+    }
+  }
+  for (const auto& [name, team] : teams_) {
+    for (const auto& [who, seat] : team.held) sooner(seat.until + terms_.skew);
+    for (const auto& [whose, over] : team.over) sooner(over.second + terms_.skew);
+  }
+  return at;
+}
+
+// ---- what is seen of it ----
+
+Ledger::Sums Ledger::sums() const {
+  Sums sums;
+  for (const auto& [key, own] : own_) ++(own.state == Own::State::held ? sums.held : sums.asked);
+  for (const auto& [name, team] : teams_) sums.in_book += team.held.size();
+  sums.teams = teams_.size();
+  return sums;
+}
+
+std::vector<Ledger::BookLine> Ledger::book() const {
+  std::vector<BookLine> lines;
+  for (const auto& [name, team] : teams_) {
+    for (const auto& [who, seat] : team.held) lines.push_back({name, who, seat.holder, seat.until});
+  }
+  return lines;
+}
+
+int Ledger::seats_of(std::string_view team) const {
+  const auto found = teams_.find(std::string(team));
+  return found == teams_.end() ? 0 : found->second.seats;
+}
+
+std::vector<Record> Ledger::snapshot() const {
+  std::vector<Record> records;
+  for (const auto& [key, own] : own_)
+    records.push_back({Record::What::asked, key, terms_.own, own.number, own.seats, own.issued, own.until});
+  for (const auto& [name, team] : teams_) {
+    for (const auto& [who, seat] : team.held)
+      records.push_back(
+          {Record::What::given, {name, who}, seat.holder, seat.number, team.seats, team.issued, seat.until});
+    for (const auto& [at, over] : team.over)
+      records.push_back(
+          {Record::What::freed, {name, at.first}, at.second, over.first, 0, Span(0), over.second});
+  }
+  return records;
+}
+
+std::string Ledger::fingerprint() const {
+  Print print;
+  for (const auto& [key, own] : own_) {
+    print << key.team << key.who << static_cast<std::int64_t>(own.state)
+          << static_cast<std::int64_t>(own.number) << own.until.count() << own.held_until.count()
+          << own.asked_at.count() << own.sent_at.count() << (own.ticket ? 1 : 0) << (own.renewing ? 1 : 0);
+  }
+  for (const auto& [name, team] : teams_) {
+    print << name << team.seats;
+    for (const auto& [who, seat] : team.held)
+      print << who << seat.holder << static_cast<std::int64_t>(seat.number) << seat.until.count()
+            << (seat.ticket ? 1 : 0);
+    for (const auto& [at, over] : team.over)
+      print << at.first << at.second << static_cast<std::int64_t>(over.first) << over.second.count();
+  }
+  return std::move(print.made);
+}
+
+}  // namespace violettide::entitlement
