--- /dev/null
+++ b/src/standins/issuer.cpp
@@ -0,0 +1,97 @@
+#include "standins/issuer.h"
+
+#include <openssl/bio.h>
+#include <openssl/bn.h>
+#include <openssl/core_names.h>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+
+#include <nlohmann/json.hpp>
+
+#include "passes/passes.h"
+
+namespace violettide::standins {
+
+using entitlement::Algorithm;
+using nlohmann::json;
+
+namespace {
+
+std::string number_of(EVP_PKEY* key, const char* name, int size) {
+  BIGNUM* number = nullptr;
+  EVP_PKEY_get_bn_param(key, name, &number);
+  const int bytes = size > 0 ? size : BN_num_bytes(number);
+  std::string text(static_cast<std::size_t>(bytes), '\0');
+  BN_bn2binpad(number, reinterpret_cast<unsigned char*>(text.data()), bytes);
+  BN_free(number);
+  return passes::base64url(text);
+}
+
+}  // namespace
+
+Issuer::Key Issuer::make(const std::string& id, Algorithm algorithm) {
+  EVP_PKEY* key = algorithm == Algorithm::rs256
+                      ? EVP_RSA_gen(2048)
+                      : EVP_EC_gen(algorithm == Algorithm::es256 ? "P-256" : "P-384");
+  BIO* bio = BIO_new(BIO_s_mem());
+  PEM_write_bio_PrivateKey(bio, key, nullptr, nullptr, 0, nullptr, nullptr);
+  char* bytes = nullptr;
+  const auto size = BIO_get_mem_data(bio, &bytes);
+  Key made{id, std::string(bytes, static_cast<std::size_t>(size)), "", algorithm};
+  BIO_free_all(bio);
+  json jwk{{"kid", id}, {"use", "sig"}};
+  if (algorithm == Algorithm::rs256) {
+    jwk["kty"] = "RSA";
+    jwk["alg"] = "RS256";
+    jwk["n"] = number_of(key, OSSL_PKEY_PARAM_RSA_N, 0);
+    jwk["e"] = number_of(key, OSSL_PKEY_PARAM_RSA_E, 0);
+  } else {
+    const bool small = algorithm == Algorithm::es256;
+    jwk["kty"] = "EC";
+    jwk["crv"] = small ? "P-256" : "P-384";
+    jwk["x"] = number_of(key, OSSL_PKEY_PARAM_EC_PUB_X, small ? 32 : 48);
+    jwk["y"] = number_of(key, OSSL_PKEY_PARAM_EC_PUB_Y, small ? 32 : 48);
+  }
+  made.jwk = jwk.dump();
+  EVP_PKEY_free(key);
+  return made;
+}
+
+void Issuer::rotate(Algorithm algorithm) {
+  keys_.push_back(make(name_ + "-" + std::to_string(++made_), algorithm));
+  if (keys_.size() > 2) keys_.erase(keys_.begin());
+}
+
+std::string Issuer::key_set() const {
+  json set{{"keys", json::array()}};
+  for (const auto& key : keys_) set["keys"].push_back(json::parse(key.jwk));
+  return set.dump();
+}
+
+std::string Issuer::claims(const Says& says) const {
+  json claims{{"iss", name_},
+              {"aud", audience_},
+              {"jti", says.id},
+              {"sub", says.subject},
+              {"team", says.team},
+              {"seats", says.seats},
+              {"iat", static_cast<double>(says.issued.count()) / 1e6},
+              {"exp", static_cast<double>(says.expires.count()) / 1e6}};
+  if (says.not_before > entitlement::Span(0))
+    claims["nbf"] = static_cast<double>(says.not_before.count()) / 1e6;
+  if (!says.plans.empty()) claims["plans"] = says.plans;
+  if (!says.titles.empty()) claims["recordings"] = says.titles;
+  return claims.dump();
+}
+
+std::string Issuer::token(const Says& says) const {
+  const auto& key = keys_.back();
+  return entitlement::sign(claims(says), key.algorithm, key.id, key.private_pem);
+}
+
+std::string Issuer::forged(const Says& says) const {
+  const auto key = make(keys_.back().id, keys_.back().algorithm);
+  return entitlement::sign(claims(says), key.algorithm, key.id, key.private_pem);
+}
+
+}  // namespace violettide::standins
