Let the ledger's cost not rise with the seats it holds

Need: each event walked through all seats held.

Change: time passes at its own event, kept records are found by ticket.

--- a/bench/hls.cpp
+++ b/bench/hls.cpp
@@ -111,7 +111,7 @@
     terms.viewer_links = players + 10;
     terms.links_per_box = players + 10;
     terms.hls.passes.secrets = {"secret"};
-    terms.hls.wall_at_zero = 1000h;
+    terms.wall_at_zero = 1000h;
     front_ = std::make_unique<manager::Manager>(
         terms, 1,
         "{\"revision\":1,\"clock_ms\":1,\"boxes\":[{\"name\":\"b\",\"address\":\"127.0.0.1\",\"port\":1,"
--- a/src/cli/services.cpp
+++ b/src/cli/services.cpp
@@ -180,7 +180,7 @@
   if (deployment.hls) {
     const auto& file = words.hls_secrets.empty() ? deployment.hls_secrets_from : words.hls_secrets;
     if (!take_secrets(file, front.hls.passes.secrets)) return 2;
-    front.hls.wall_at_zero =
+    front.wall_at_zero =
         std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch());
   }
   const auto kept = deployment.keep_in.empty()
--- a/src/entitlement/ledger/ledger.cpp
+++ b/src/entitlement/ledger/ledger.cpp
@@ -82,7 +82,6 @@
   acts_ = &acts;
   now_ = std::max(now_, now);
   std::visit([this](const auto& what) { on(what); }, event);
-  pass_time();
   // What a manager tells itself goes the way that others' words go.
   while (!to_self_.empty()) {
     const auto message = std::move(to_self_.front());
@@ -101,6 +100,8 @@
 }
 
 std::uint64_t Ledger::keep(Record record) {
+  if (record.what == Record::What::asked || record.what == Record::What::given)
+    unkept_.emplace_back(next_ticket_, record.key);
   acts_->push_back(KeepRecord{next_ticket_, std::move(record)});
   return next_ticket_++;
 }
@@ -133,6 +134,10 @@
         return;
       case Own::State::held:
         // Its seat is here already: a retry, or a renewal.
+        if (own.held_until <= now_) {
+          acts_->push_back(TurnAway{TurnAway::Why::too_late, what.key, Span(0)});
+          return;
+        }
         acts_->push_back(Admit{what.key, own.held_until});
         if (what.until > own.until) {
           own.until = what.until;
@@ -187,22 +192,26 @@
 }
 
 void Ledger::on(const Kept& what) {
-  for (auto& [key, own] : own_) {
-    if (own.ticket == 0 || own.ticket > what.ticket) continue;
-    own.ticket = 0;
-    if (own.state == Own::State::keeping) own.state = Own::State::asking;
-    if (own.state == Own::State::asking || own.renewing) send(key, own);
-  }
-  for (auto& [name, team] : teams_) {
-    for (auto& [who, seat] : team.held) {
-      if (seat.ticket == 0 || seat.ticket > what.ticket) continue;
-      seat.ticket = 0;
-      if (seat.taken_from) {
-        tell(seat.taken_from->first, SeatTaken{{name, who}, seat.taken_from->second});
-        seat.taken_from.reset();
-      }
-      if (!terms_.planted.answers_unkept) tell(seat.holder, SeatGiven{{name, who}, seat.number, seat.until});
+  while (!unkept_.empty() && unkept_.front().first <= what.ticket) {
+    const auto [ticket, key] = std::move(unkept_.front());
+    unkept_.pop_front();
+    if (const auto found = own_.find(key); found != own_.end() && found->second.ticket == ticket) {
+      auto& own = found->second;
+      own.ticket = 0;
+      if (own.state == Own::State::keeping) own.state = Own::State::asking;
+      if (own.state == Own::State::asking || own.renewing) send(key, own);
     }
+    const auto team = teams_.find(key.team);
+    if (team == teams_.end()) continue;
+    const auto held = team->second.held.find(key.who);
+    if (held == team->second.held.end() || held->second.ticket != ticket) continue;
+    auto& seat = held->second;
+    seat.ticket = 0;
+    if (seat.taken_from) {
+      tell(seat.taken_from->first, SeatTaken{key, seat.taken_from->second});
+      seat.taken_from.reset();
+    }
+    if (!terms_.planted.answers_unkept) tell(seat.holder, SeatGiven{key, seat.number, seat.until});
   }
 }
 
@@ -354,6 +363,7 @@
 // ---- time ----
 
 void Ledger::on(const Ticked&) {
+  pass_time();
   for (auto it = teams_.begin(); it != teams_.end();) {
     free_lapsed(it->second, it->first);
     it = it->second.held.empty() && it->second.over.empty() ? teams_.erase(it) : std::next(it);
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -163,7 +163,7 @@
   std::string address(passes::Pass pass);
   int rung_of(const Playback& playback, std::uint64_t bandwidth) const;
   void answer_list(ViewerLink& viewer, const Playback& playback, const std::string& text);
-  Span wall() const { return terms_.hls.wall_at_zero + now_; }
+  Span wall() const { return terms_.wall_at_zero + now_; }
 
   // ---- the list ----
   void poll_list();
--- a/src/manager/terms.h
+++ b/src/manager/terms.h
@@ -37,7 +37,6 @@
   bool direct = false;  // segments straight from the box; playlists by this front in any case
   hls::ShowTerms show;  // `silence` is the front's own
   hls::Limits playlists;
-  Span wall_at_zero{0};            // the machine's clock at the core's time 0
   int most_readers = 4;            // players that may share one session id
   std::size_t parted_kept = 4096;  // playbacks that are over, remembered for their old addresses
   std::size_t lists_kept_bytes = 64 * 1024 * 1024;  // of boxes' playlists as read last
@@ -66,6 +65,7 @@
   Span stop_limit{5'000'000};
   http::Limits http;
   HlsTerms hls;
+  Span wall_at_zero{0};  // the machine's clock at the core's time 0
   // With a catalogue, holders come from it alone; without, from `recordings` and names' hashes.
   bool catalogued = false;
   catalogue::KeeperTerms keeper;
--- a/tests/program/hls_front_test.cpp
+++ b/tests/program/hls_front_test.cpp
@@ -44,7 +44,7 @@
     terms.list_port = Net::port(3);
     terms.silence = 3s;
     terms.hls.passes.secrets = {"secret"};
-    terms.hls.wall_at_zero = 1000h;
+    terms.wall_at_zero = 1000h;
     front = make();
     net.add(*front, 1);
     net.add(box[0], 1);
@@ -478,7 +478,7 @@
   const auto seated = uris(get("/seated/t/index.m3u8", sid).body)[0];
   net.kill(front_host);
   terms.hls.passes.secrets = {"new", "secret"};
-  terms.hls.wall_at_zero += 1h;
+  terms.wall_at_zero += 1h;
   front = make();
   net.replace(front_host, *front);
   net.run(net.now() + 100ms);
