--- /dev/null
+++ b/src/peers/peers.h
@@ -0,0 +1,86 @@
+// Managers of a hall speaking to each other: one connection each way between each two, frames of protobuf,
+// each signed with the hall's key over the other side's challenge and a count, so that nothing is forged,
+// replayed on another connection or left out within one. Messages may still be lost with a connection, and
+// are kept for one that is down within a bound: who sends must live with both. Free of I/O and clock.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "seams/seams.h"
+
+namespace violettide::peers {
+
+using PeerIndex = std::uint32_t;
+struct Address {
+  std::string name, address;
+  std::uint16_t port = 0;
+};
+struct PeerTerms {
+  std::vector<Address> all;  // every manager of the hall, this one too
+  PeerIndex own = 0;
+  std::string key;
+  Span dial_again{200'000};         // after a connection that failed, doubled up to
+  Span dial_longest{5'000'000};     // this
+  std::size_t most_waiting = 4096;  // messages to one peer
+  std::size_t most_frame = 64 * 1024;
+};
+
+struct Heard {
+  PeerIndex from = 0;
+  std::uint32_t kind = 0;
+  std::string payload;
+};
+
+class Peers {
+ public:
+  // `links`: where the numbers of links that this dials begin; they rise from there.
+  Peers(PeerTerms terms, Link links) : terms_(std::move(terms)), next_link_(links), out_(terms_.all.size()) {}
+  void send(Span now, PeerIndex to, std::uint32_t kind, std::string payload, std::vector<Act>& acts);
+  void accepted(Span now, Link link, std::vector<Act>& acts);
+  bool knows(Link link) const { return dialed_.contains(link) || came_.contains(link); }
+  std::vector<Heard> received(Link link, std::string_view bytes, std::vector<Act>& acts);
+  void connected(Link link);
+  void ended(Span now, Link link);
+  void time_passed(Span now, std::vector<Act>& acts);  // dials what is due
+
+  struct Counts {
+    std::size_t sent = 0, heard = 0, dropped = 0, refused = 0;
+  };
+  const Counts& counts() const { return counts_; }
+  std::string last_refusal() const { return last_refusal_; }
+
+ private:
+  struct Out {  // to one peer
+    Link link = 0;
+    bool challenged = false;
+    std::string challenge, got;
+    std::uint64_t count = 0;
+    std::deque<std::pair<std::uint32_t, std::string>> waiting;
+    Span dial_at{0}, pause{0};
+  };
+  struct In {
+    std::string challenge, got;
+    std::optional<PeerIndex> from;
+    std::uint64_t count = 0;
+  };
+  std::string mac(std::string_view challenge, std::string_view body) const;
+  void flush(PeerIndex to, std::vector<Act>& acts);
+  void dial(Span now, PeerIndex to, std::vector<Act>& acts);
+  void refuse(Link link, const std::string& cause, std::vector<Act>& acts);
+
+  PeerTerms terms_;
+  Link next_link_;
+  std::vector<Out> out_;
+  std::map<Link, PeerIndex> dialed_;
+  std::map<Link, In> came_;
+  std::uint64_t challenges_ = 0;
+  Counts counts_;
+  std::string last_refusal_;
+};
+
+}  // namespace violettide::peers
