Entitle playbacks before they are placed: tokens, seats across managers, renewals

Need: a customer's seats are counted over all managers of a hall, through restarts, partitions and retries.

Change: the manager judges a playback's token, claims its seat from the team's owner over the peers' connections, and only then tells the module; it renews what plays, ends what lapses or went to another manager, keeps the ledger on the disk first, and fetches the issuer's keys. A box lost needs no new token.

Measured: ten scenarios of three managers on the in-memory network, crowds, cut-offs, restarts and a full disk among them: never more than the seats, none leaked.

--- a/src/entitlement/gate/gate.cpp
+++ b/src/entitlement/gate/gate.cpp
@@ -47,7 +47,9 @@
   if (key == keys_.end() || stale) {
     // It may be a key of a set that is newer than ours; the issuer is asked at its pace, whoever asks.
     wanted_ = true;
-    if (fetching_ || now - fetched_at_ >= terms_.fetch_least || !ever_) return WaitsForKeys{};
+    // Without any keys nothing can be said of a token, good or bad.
+    if (fetching_ || now - fetched_at_ >= terms_.fetch_least || !ever_ || keys_.empty() || stale)
+      return WaitsForKeys{};
     return refuse(TokenFault::unknown_key);
   }
   if (const auto gone = retired_.find(key_id); gone != retired_.end() && gone->second <= now)
--- a/src/entitlement/gate/gate.h
+++ b/src/entitlement/gate/gate.h
@@ -48,6 +48,7 @@
   void keys_failed(Span now);
   // Whether the keys are to be fetched now; then one of the two above is owed.
   bool wants_fetch(Span now);
+  bool fetching() const { return fetching_; }
   std::size_t keys() const { return keys_.size(); }
 
   struct Counts {
--- a/src/manager/catalogue_door.cpp
+++ b/src/manager/catalogue_door.cpp
@@ -121,6 +121,7 @@
 }
 
 void Manager::on(const KeepDone& what) {
+  if (what.ticket >= seat_tickets) return seats_kept(what);
   if (!what.failed.empty())
     say("catalogue_not_kept", {{"revision", static_cast<std::int64_t>(what.ticket)}, {"cause", what.failed}});
   keeper_did(keeper_.handle(
--- a/src/manager/hls_door.cpp
+++ b/src/manager/hls_door.cpp
@@ -30,7 +30,9 @@
     const auto end = std::min(query.find('&', from), query.size());
     const auto one = query.substr(from, end - from);
     from = end + 1;
-    if (one.empty() || one.starts_with("CMCD=") || one.starts_with("_HLS_")) continue;
+    if (one.empty() || one.starts_with("CMCD=") || one.starts_with("_HLS_") ||
+        one.starts_with("access_token=") || one.starts_with("CTA-Common-Access-Token="))
+      continue;
     if (!kept.empty()) kept += '&';
     kept += one;
   }
@@ -205,7 +207,7 @@
                                                                 : Asks::segment;
   orphan.expired = viewer.pass_expired;
   orphan.paid_at_setup = plan.pay_at_setup;
-  orphan.counted_seats = plan.seats > 0;
+  orphan.counted_seats = plan.seats > 0 || ledger_ != nullptr;
   orphan.departed = departures_.find(now_, key);
   const auto server = list_.find(pass.box);
   orphan.box_ready = server && list_.box(*server).standing == Standing::ready;
@@ -265,6 +267,7 @@
 void Manager::part(Playback& playback, hls::Ending how, Span come_back) {
   if (!playback.hls) return;
   departures_.note(now_, playback.key, how, come_back);
+  if (!playback.token.empty()) playback.hls->token = playback.token;
   while (parted_order_.size() >= terms_.hls.parted_kept) {
     parted_.erase(parted_order_.front());
     parted_order_.pop_front();
--- a/src/manager/inside.h
+++ b/src/manager/inside.h
@@ -19,6 +19,7 @@
   http::Request request;
   hints::ReadCmcd hints;
   MediaPath path;
+  std::string token;  // entitlement, as shown
   std::string trace;  // W3C trace context, passed on as it came
   std::optional<PlaybackId> playback;
   Link box = 0;  // the link its object comes by
@@ -60,6 +61,7 @@
     std::map<std::string, hls::Continuity> courses;  // by the place of the media playlist
   };
   hls::Showing showing;
+  std::string token;  // shown last: a box lost needs no new one
   std::map<int, std::string> lists;  // by rung: where its media playlist is at a box
   std::map<int, bool> flat;
   hls::Variables variables;
@@ -87,6 +89,9 @@
   Span buffered{0};
   std::string sid;
   std::unique_ptr<HlsSide> hls;
+  std::optional<Request> request;  // to be told to the module once it is entitled
+  std::optional<entitlement::SeatKey> seat;
+  std::string token;
   Bells::Handle abandon, silence;
 };
 
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -1,3 +1,5 @@
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -19,6 +21,7 @@
 constexpr Span measure_every{1'000'000};
 constexpr Span least_measured{5'000};  // shorter deliveries measure the loopback, not the box
 constexpr double kbit_per_kb = 8;
+constexpr Link peer_links = 1u << 30;  // links to other managers are numbered from there
 
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
 Span part_of(Span span, double part) {
@@ -72,6 +75,7 @@
           terms_.keeper, [this](std::string_view name) { return list_.index(name); },
           static_cast<int>(terms_.site.rung_kb.size())),
       demand_(terms_.demand_kept, terms_.demand_half_life),
+      gate_(terms_.entitlement.gate),
       keys_(terms_.hls.passes) {
   terms_.hls.show.silence = terms_.silence;
 }
@@ -116,6 +120,17 @@
   arm(Span(0), Ring::list, 0);
   if (terms_.catalogued && terms_.feed_port != 0) arm(Span(0), Ring::feed, 0);
   arm(terms_.object_length, Ring::weigh, 0);
+  if (!terms_.peers.all.empty()) peers_ = std::make_unique<peers::Peers>(terms_.peers, peer_links);
+  if (terms_.entitlement.on) {
+    auto own = terms_.entitlement.ledger;
+    own.peers.clear();
+    for (const auto& peer : terms_.peers.all) own.peers.push_back(peer.name);
+    if (own.peers.empty()) own.peers.push_back(terms_.name);
+    own.own = terms_.peers.own;
+    ledger_ = std::make_unique<entitlement::Ledger>(std::move(own), terms_.entitlement.restart, wall(),
+                                                    terms_.entitlement.kept);
+  }
+  if (peers_ || ledger_) arm(Span(0), Ring::seats, 0);
 }
 
 void Manager::ring(const Bell& bell) {
@@ -130,6 +145,8 @@
       if (const auto found = controls_.find(bell.of); found != controls_.end() && found->second->feed_after)
         control_reply(*found->second, cataloguewire::empty_feed(keeper_.present()->revision));
       return;
+    case Ring::seats:
+      return seats_time();
     case Ring::weigh:
       arm(terms_.object_length, Ring::weigh, 0);
       return heed(weighing_.handle(now_, hints::TimePassed{}), 0);
@@ -171,6 +188,7 @@
 // ---- viewers ----
 
 void Manager::on(const Accepted& what) {
+  if (what.door == 2 && peers_) return peers_->accepted(now_, what.link, *acts_);
   if (what.door != 0) {
     auto control = std::make_unique<Control>();
     control->link = what.link;
@@ -195,6 +213,7 @@
 }
 
 void Manager::on(const Received& what) {
+  if (peer_link(what.link)) return peers_said(peers_->received(what.link, what.bytes, *acts_));
   if (what.link >= first_accepted) {
     if (const auto control = controls_.find(what.link); control != controls_.end()) {
       control->second->reader.push(what.bytes);
@@ -244,6 +263,11 @@
     return answer(viewer, 405, "media objects are read with GET\n", {{"Allow", "GET"}});
   viewer.wants = ViewerLink::Wants::object;
   viewer.hints = hints::read_cmcd(viewer.request.fields, viewer.request.target);
+  viewer.token = ledger_ ? token_of(viewer.request) : "";
+  // Whose player says no session is known by its token: a retry must find its seat.
+  if (!viewer.token.empty() && !viewer.hints.hints.session_id)
+    viewer.hints.hints.session_id =
+        "t" + std::to_string(XXH3_64bits(viewer.token.data(), viewer.token.size()));
   const auto read = terms_.hls.on() ? read_hls(viewer) : Read::other;
   if (read == Read::answered) return;
   if (read == Read::other) {
@@ -282,6 +306,7 @@
     if (playback.askers.size() == 1 && playback.tries == 0 && playback.asked_at == Span(-1)) ask(playback);
     return;
   }
+  if (ledger_) renew(playback, viewer);
   const auto id = playback.id;
   heed(weighing_.handle(now_, hints::ViewerSaid{id, playback.server, viewer.hints.hints,
                                                 rate_kb(playback, playback.rung)}),
@@ -371,6 +396,8 @@
                          {"title", playback.title},
                          {"sid", playback.sid},
                          {"top", std::int64_t{request->top}}});
+  playback.request = *request;
+  if (ledger_) return entitle(playback);
   tell(*request);
 }
 
@@ -453,6 +480,10 @@
 }
 
 void Manager::on(const HalfClosed& what) {
+  if (peer_link(what.link)) {
+    acts_->push_back(Hang{what.link, false});
+    return peers_->ended(now_, what.link);
+  }
   if (what.link < first_accepted) return on(Ended{what.link, Ending::finished});
   if (controls_.contains(what.link)) return control_gone(what.link);
   const auto found = viewers_.find(what.link);
@@ -560,6 +591,8 @@
   auto& playback = *found->second;
   bells_.disarm(playback.abandon);
   bells_.disarm(playback.silence);
+  wait_for_keys_.erase(id);
+  const auto seat = playback.seat;
   if (playback.recording) {
     if (auto asking = asking_.find(*playback.recording); asking != asking_.end()) {
       asking->second.erase(id);
@@ -574,6 +607,10 @@
   }
   weighing_.handle(now_, hints::PlaybackLeft{id});
   playbacks_.erase(found);
+  if (seat) {
+    by_seat_.erase(*seat);
+    seats_did(entitlement::Left{*seat});
+  }
 }
 
 // The box of a playing playback failed it: the module hears, and the playback is over. Its viewer's next
@@ -634,7 +671,7 @@
   auto fresh = std::make_unique<BoxLink>();
   auto& link = *fresh;
   link.link = next_link_;
-  next_link_ = next_link_ + 1 < first_accepted ? next_link_ + 1 : 1;
+  next_link_ = next_link_ + 1 < peer_links ? next_link_ + 1 : 1;
   link.server = server;
   link.use = use;
   ++links_of_[server];
@@ -731,6 +768,7 @@
   if (part.fault && !part.head && !part.done) {
     say("box_malformed", {{"box", link.use == Use::list   ? std::string("list")
                                   : link.use == Use::feed ? std::string("feed")
+                                  : link.use == Use::keys ? std::string("issuer")
                                                           : list_.box(link.server).name},
                           {"cause", part.fault->cause}});
     if (link.use == Use::idle) return hang_box(id);
@@ -759,6 +797,11 @@
       link.body += part.body;
       if (part.done) feed_answered(link, true);
       return;
+    case Use::keys:
+      link.body += part.body;
+      if (link.body.size() > most_list) return keys_answered(link, false);
+      if (part.done) keys_answered(link, true);
+      return;
     case Use::probe:
       if (part.head) {
         const auto said = hints::read_cmsd("", http::joined(part.head->fields, "CMSD-Dynamic"));
@@ -940,6 +983,7 @@
 }
 
 void Manager::on(const Ended& what) {
+  if (peer_link(what.link)) return peers_->ended(now_, what.link);
   if (what.link >= first_accepted) {
     if (controls_.contains(what.link)) return control_gone(what.link);
     const auto found = viewers_.find(what.link);
@@ -989,6 +1033,7 @@
   const auto viewer_link = link.viewer;
   if (use == Use::list) return list_answered(link, false);
   if (use == Use::feed) return feed_answered(link, false);
+  if (use == Use::keys) return keys_answered(link, false);
   hang_box(link.link);
   if (use == Use::probe) {
     if (!head_seen) tell(ProbeEnded{server, false, {}});
@@ -1016,6 +1061,8 @@
   bool pay_at_setup = false;
   if (found != playbacks_.end()) {
     pay_at_setup = terms_.site.plans[found->second->plan].pay_at_setup;
+    if (viewer != viewers_.end() && viewer->second->token.empty())
+      viewer->second->token = found->second->token;
     lost(*found->second, outcome);
   }
   if (viewer == viewers_.end()) return;
@@ -1054,7 +1101,7 @@
   auto& link = *found->second;
   bells_.disarm(link.limit);
   bells_.disarm(link.connect);
-  if (link.use != Use::list && link.use != Use::feed) {
+  if (link.use != Use::list && link.use != Use::feed && link.use != Use::keys) {
     --links_of_[link.server];
     std::erase(idle_[link.server], id);
   }
@@ -1077,7 +1124,7 @@
   auto fresh = std::make_unique<BoxLink>();
   auto& link = *fresh;
   link.link = next_link_;
-  next_link_ = next_link_ + 1 < first_accepted ? next_link_ + 1 : 1;
+  next_link_ = next_link_ + 1 < peer_links ? next_link_ + 1 : 1;
   link.use = use;
   boxes_.emplace(link.link, std::move(fresh));
   acts_->push_back(Dial{link.link, address, port});
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -17,12 +17,15 @@
 #include "catalogue/demand.h"
 #include "catalogue/keeper.h"
 #include "cataloguewire/resource.h"
+#include "entitlement/gate/gate.h"
+#include "entitlement/ledger/ledger.h"
 #include "hints/weighing/weighing.h"
 #include "hls/showing/showing.h"
 #include "hls/writing.h"
 #include "http/http.h"
 #include "manager/terms.h"
 #include "passes/passes.h"
+#include "peers/peers.h"
 #include "seams/seams.h"
 #include "wheel/wheel.h"
 
@@ -52,9 +55,12 @@
   Held held() const;
   // The catalogue, to be restored before the first happening.
   catalogue::Keeper& catalogue() { return keeper_; }
+  // The seats, where tokens are asked for and the first happening has been.
+  const entitlement::Ledger* seats() const { return ledger_.get(); }
+  const entitlement::Gate& gate() const { return gate_; }
 
  private:
-  enum class Use { idle, set_up, object, probe, list, feed };
+  enum class Use { idle, set_up, object, probe, list, feed, keys };
   struct ViewerLink;
   struct BoxLink;
   struct Playback;
@@ -70,7 +76,8 @@
     stop,
     weigh,
     feed,
-    feed_wait
+    feed_wait,
+    seats
   };
   struct Bell {
     Ring ring = Ring::module;
@@ -132,6 +139,19 @@
   void hear_box(BoxLink& link, const http::ResponseHead& head, double rate);
   http::Fields box_fields(const ViewerLink* viewer, const Playback* playback, bool set_up) const;
 
+  // ---- seats ----
+  bool peer_link(Link link) const { return peers_ && peers_->knows(link); }
+  static std::string token_of(const http::Request& request);
+  void entitle(Playback& playback);
+  void renew(Playback& playback, const ViewerLink& viewer);
+  void seats_did(const entitlement::LedgerEvent& event);
+  void seats_time();
+  void seats_kept(const KeepDone& what);
+  void peers_said(std::vector<peers::Heard> heard);
+  void keys_answered(BoxLink& link, bool whole);
+  void fetch_keys();
+  void do_seat(const entitlement::LedgerAct& act);
+
   // ---- HLS ----
   enum class Read { other, taken, answered };
   Read read_hls(ViewerLink& viewer);
@@ -228,6 +248,12 @@
   std::map<catalogue::RecordingId, std::set<PlaybackId>>
       asking_;  // that wait for a set-up, or are out for one
   bool feed_out_ = false, feed_whole_ = false;
+  std::unique_ptr<entitlement::Ledger> ledger_;
+  entitlement::Gate gate_;
+  std::unique_ptr<peers::Peers> peers_;
+  std::map<entitlement::SeatKey, PlaybackId> by_seat_;
+  std::set<PlaybackId> wait_for_keys_;
+  bool seats_disk_failed_ = false;
   passes::KeyRing keys_;
   hls::Departures departures_;
   std::map<std::string, std::unique_ptr<HlsSide>>
--- a/src/manager/terms.h
+++ b/src/manager/terms.h
@@ -8,10 +8,13 @@
 
 #include "brain.h"
 #include "catalogue/keeper.h"
+#include "entitlement/gate/gate.h"
+#include "entitlement/ledger/ledger.h"
 #include "hls/playlist.h"
 #include "hls/showing/showing.h"
 #include "http/http.h"
 #include "passes/passes.h"
+#include "peers/peers.h"
 
 namespace violettide::manager {
 
@@ -43,6 +46,19 @@
   bool on() const { return !passes.secrets.empty(); }
 };
 
+// Seats of teams, by tokens. Off, no token is asked for.
+struct EntitlementTerms {
+  bool on = false;
+  entitlement::GateTerms gate;
+  std::string keys_address = "127.0.0.1", keys_path = "/keys";
+  std::uint16_t keys_port = 0;
+  entitlement::LedgerTerms ledger;  // its peers are those of `peers`
+  std::uint32_t restart = 1;        // of this process
+  std::vector<entitlement::Record> kept;
+  Span longest_come_back{30'000'000};  // where no seat is free
+  Span every{100'000};                 // time passes for seats, keys and peers
+};
+
 struct FrontTerms {
   std::string name = "front";  // in Via and CMSD
   SiteTerms site;              // what the module reads
@@ -65,7 +81,9 @@
   Span stop_limit{5'000'000};
   http::Limits http;
   HlsTerms hls;
-  Span wall_at_zero{0};  // the machine's clock at the core's time 0
+  EntitlementTerms entitlement;
+  peers::PeerTerms peers;  // none: this manager is alone
+  Span wall_at_zero{0};    // the machine's clock at the core's time 0
   // With a catalogue, holders come from it alone; without, from `recordings` and names' hashes.
   bool catalogued = false;
   catalogue::KeeperTerms keeper;
--- a/src/seams/seams.h
+++ b/src/seams/seams.h
@@ -81,7 +81,9 @@
 struct Store {
   std::string name;
   std::string bytes;
-};             // keep as a whole or not at all
+};  // keep as a whole or not at all
+// Tickets of Keep from here on are of another book than those below.
+constexpr std::uint64_t seat_tickets = std::uint64_t{1} << 62;
 struct Keep {  // on the disk for good, before KeepDone comes; `whole`: in place of all kept before
   std::uint64_t ticket;
   std::string bytes;
--- a/tests/program/net.h
+++ b/tests/program/net.h
@@ -21,6 +21,8 @@
   Span latency = 200us;
   std::vector<std::pair<int, Say>> said;  // by host
   std::vector<std::string> kept;          // by all
+  std::map<int, std::vector<std::string>> kept_by;
+  std::function<bool(int from, int to)> lost;  // messages that never arrive, as in a partition
   Span keep_time = 2ms;
   std::string keep_fails;  // the cause that each Keep meets from now on; empty: none
 
@@ -35,10 +37,10 @@
   static std::uint16_t port(int host, int door = 0) {
     return static_cast<std::uint16_t>(host * 1000 + door + 1);
   }
-  void replace(int host, Core& core) {
+  void replace(int host, Core& core, int doors = 1) {
     hosts_[host].core = &core;
     hosts_[host].alive = true;
-    hosts_[host].open.insert(0);
+    for (int door = 0; door < doors; ++door) hosts_[host].open.insert(door);
     post(now_, host, Woken{});
   }
   // The process is gone at once: its peers' connections are reset, its doors refuse.
@@ -157,7 +159,7 @@
             },
             [&](Send& a) {
               const auto wire = host.wires.find(a.link);
-              if (wire == host.wires.end()) return;
+              if (wire == host.wires.end() || (lost && lost(at, wire->second.host))) return;
               post(now_ + latency, wire->second.host, Received{wire->second.link, {}}, std::move(a.bytes));
             },
             [&](Hang& a) {
@@ -195,6 +197,7 @@
             },
             [&](Keep& a) {
                      kept.push_back(a.bytes);
+                     if (keep_fails.empty()) kept_by[at].push_back(a.bytes);
                      const auto failed = keep_fails;
                      post(now_ + keep_time, at, KeepDone{a.ticket, failed});
                    },
--- /dev/null
+++ b/tests/program/seats_test.cpp
@@ -0,0 +1,322 @@
+// Three managers of a hall, their issuer and their disks, on the in-memory network: seats counted once
+// whatever restarts, is lost or is cut off.
+#include <gtest/gtest.h>
+
+#include "entitlement/words/words.h"
+#include "manager/manager.h"
+#include "net.h"
+#include "standins/issuer.h"
+
+namespace violettide::manager {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::Net;
+using testing::Puppet;
+
+class Places : public Decider {
+ public:
+  std::vector<Order> decide(Span, const Event& event) override {
+    if (const auto* request = std::get_if<Request>(&event))
+      return {SetRung{request->playback, 0}, violettide::SetUp{request->playback, 0, 2s}};
+    if (const auto* ended = std::get_if<TryEnded>(&event); ended && !ended->over)
+      return {Abort{ended->playback}};
+    return {};
+  }
+};
+
+class Hall : public ::testing::Test {
+ protected:
+  static constexpr int box_host = 3, list_host = 4, issuer_host = 5, viewer_host = 6;
+  static constexpr int managers = 3;
+
+  void SetUp() override {
+    issuer.rotate();
+    for (int m = 0; m < managers; ++m) {
+      fronts[m] = make(m, 1, {});
+      net.add(*fronts[m], 3);
+    }
+    net.add(box, 1);
+    net.add(list, 1);
+    net.add(keys, 1);
+    net.add(viewer, 0);
+    serves(list, boxes_json);
+    serves(keys, issuer.key_set());
+    box.on_bytes = [this](Puppet& own, Link link, std::vector<Act>& acts) {
+      auto& got = own.peers[link].got;
+      for (auto end = got.find("\r\n\r\n"); end != std::string::npos; end = got.find("\r\n\r\n")) {
+        const auto head = got.substr(0, end);
+        got.erase(0, end + 4);
+        if (head.starts_with("GET") && head.find("su") != std::string::npos) ++set_ups;
+        if (!mute) acts.push_back(Send{link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"});
+      }
+    };
+    net.run(500ms);
+  }
+  static void serves(Puppet& puppet, std::string body) {
+    puppet.on_bytes = [body](Puppet&, Link link, std::vector<Act>& acts) {
+      acts.push_back(Send{link, http::head_text(200, {}, body.size(), false) + body});
+      acts.push_back(Hang{link, true});
+    };
+  }
+  std::unique_ptr<Manager> make(int m, std::uint32_t restart, std::vector<entitlement::Record> kept) {
+    FrontTerms terms;
+    terms.name = "m" + std::to_string(m);
+    terms.site.rung_kb = {10};
+    terms.site.rung_revenue = {1};
+    terms.site.plans.resize(1);
+    terms.site.plans[0].startup_target = 2s;
+    terms.plans = {{"a", 4s}};
+    terms.halls = {"h"};
+    terms.site.cells = 1;
+    terms.list_port = Net::port(list_host);
+    terms.silence = 3s;
+    terms.wall_at_zero = wall_at_zero;
+    terms.entitlement.on = true;
+    terms.entitlement.gate.issuer = "issuer";
+    terms.entitlement.gate.skew = 1s;
+    terms.entitlement.gate.grace = 2s;
+    terms.entitlement.gate.fetch_least = 1s;
+    terms.entitlement.keys_port = Net::port(issuer_host);
+    terms.entitlement.ledger.resume = 5s;
+    terms.entitlement.restart = restart;
+    terms.entitlement.kept = std::move(kept);
+    for (int p = 0; p < managers; ++p)
+      terms.peers.all.push_back({"m" + std::to_string(p), "", Net::port(p, 2)});
+    terms.peers.own = static_cast<peers::PeerIndex>(m);
+    terms.peers.key = m == wrong_key ? "another" : "hall";
+    return std::make_unique<Manager>(terms, 1, "", std::make_unique<Places>());
+  }
+  void restart(int m) {
+    std::vector<entitlement::Record> records;
+    for (const auto& bytes : net.kept_by[m]) {
+      for (std::size_t at = 0; at + 4 <= bytes.size();) {
+        std::size_t size = 0;
+        for (int i = 0; i < 4; ++i) size = size << 8 | static_cast<unsigned char>(bytes[at++]);
+        records.push_back(*entitlement::read_record(bytes.substr(at, size)));
+        at += size;
+      }
+    }
+    net.kill(m);
+    fronts[m] = make(m, ++restarts, records);
+    net.replace(m, *fronts[m], 3);
+    net.run(net.now() + 500ms);
+  }
+  int owner() const {
+    entitlement::LedgerTerms terms;
+    for (int p = 0; p < managers; ++p) terms.peers.push_back("m" + std::to_string(p));
+    return static_cast<int>(entitlement::owner_of(terms, "red"));
+  }
+  Span wall() const { return wall_at_zero + net.now(); }
+  std::string token(const std::string& who, Span lasts = 60s, int seats = 2) {
+    return issuer.token(
+        {"jti" + std::to_string(++tokens), who, "red", seats, wall(), wall() + lasts, Span(0), {}, {}});
+  }
+  Link ask(int m, const std::string& sid, const std::string& with, int object = 0) {
+    const Link link = next_link++;
+    viewer.next.push_back(Dial{link, "", Net::port(m)});
+    net.poke(viewer_host);
+    net.run(net.now() + 2ms);
+    viewer.next.push_back(Send{
+        link, "GET /a/t/r0/" + std::to_string(object) + " HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"" + sid +
+                  "\"\r\n" + (with.empty() ? "" : "Authorization: Bearer " + with + "\r\n") + "\r\n"});
+    net.poke(viewer_host);
+    return link;
+  }
+  int status(Link link, Span within = 300ms) {
+    net.run(net.now() + within);
+    const auto& got = viewer.peers[link].got;
+    return got.size() > 12 ? std::stoi(got.substr(9)) : 0;
+  }
+  int get(int m, const std::string& sid, const std::string& with, int object = 0) {
+    return status(ask(m, sid, with, object));
+  }
+  std::size_t in_book() { return fronts[owner()]->seats()->sums().in_book; }
+
+  Net net;
+  Puppet box, list, keys, viewer;
+  std::unique_ptr<Manager> fronts[managers];
+  standins::Issuer issuer{"issuer", "hall"};
+  Span wall_at_zero = 1'000'000s;
+  bool mute = false;
+  int set_ups = 0, tokens = 0, wrong_key = -1;
+  std::uint32_t restarts = 1;
+  Link next_link = 1;
+  std::string boxes_json =
+      R"({"revision":1,"clock_ms":100000,"boxes":[{"name":"b0","address":"127.0.0.1","port":3001,"state":"ready",)"
+      R"("kind":0,"cell":0,"hall":"h","weight":1}]})";
+};
+
+TEST_F(Hall, ASeatForEachPlaybackAndNoMore) {
+  EXPECT_EQ(get(0, "s1", token("ann")), 200);
+  EXPECT_EQ(get(1, "s2", token("bob")), 200);
+  EXPECT_EQ(in_book(), 2u);
+  const auto third = ask(2, "s3", token("cy"));
+  EXPECT_EQ(status(third), 503);
+  EXPECT_NE(viewer.peers[third].got.find("Retry-After: "), std::string::npos);
+  EXPECT_NE(viewer.peers[third].got.find("its team has no free seat"), std::string::npos);
+  EXPECT_EQ(set_ups, 2);
+  // One falls silent; its seat is free at once, for any manager.
+  net.run(net.now() + 4s);
+  EXPECT_EQ(in_book(), 0u);
+  EXPECT_EQ(get(2, "s3", token("cy")), 200);
+}
+
+TEST_F(Hall, BadTokensTakeNoSeat) {
+  EXPECT_EQ(get(0, "s1", ""), 401);
+  EXPECT_EQ(get(0, "s1", "a.b.c"), 401);
+  EXPECT_EQ(get(0, "s1", issuer.forged({"j", "ann", "red", 2, wall(), wall() + 60s, Span(0), {}, {}})), 401);
+  EXPECT_EQ(get(0, "s1", issuer.token({"j", "ann", "red", 2, wall(), wall() - 10s, Span(0), {}, {}})), 401);
+  EXPECT_EQ(get(0, "s1", issuer.token({"j", "ann", "red", 2, wall(), wall() + 60s, Span(0), {"b"}, {}})),
+            403);
+  EXPECT_EQ(get(0, "s1", issuer.token({"k", "ann", "red", 0, wall(), wall() + 60s, Span(0), {}, {}})), 503);
+  const auto replayed = token("ann");
+  EXPECT_EQ(get(0, "s1", replayed), 200);
+  EXPECT_EQ(get(0, "s2", replayed), 401) << "another session with the same token";
+  EXPECT_EQ(in_book(), 1u);
+  EXPECT_EQ(set_ups, 1);
+}
+
+TEST_F(Hall, ARetryAtAnotherManagerWhileTheFirstTryIsOutIsTheSameSeat) {
+  mute = true;
+  const auto shown = token("ann", 60s, 1);
+  const auto first = ask(0, "s1", shown);
+  net.run(net.now() + 100ms);
+  EXPECT_EQ(set_ups, 1);
+  EXPECT_EQ(in_book(), 1u);
+  const auto second = ask(1, "s1", shown);
+  net.run(net.now() + 100ms);
+  EXPECT_EQ(in_book(), 1u) << "counted once";
+  EXPECT_EQ(status(first), 409) << "its try was taken back";
+  mute = false;
+  EXPECT_EQ(get(2, "s2", token("bob", 60s, 1)), 503);
+  EXPECT_EQ(status(second, 3s), 504) << "the box answered nothing to that try";
+  EXPECT_EQ(get(2, "s2", token("bob", 60s, 1)), 200);
+  EXPECT_EQ(in_book(), 1u);
+}
+
+TEST_F(Hall, ARenewalCrossesARestartAndFindsItsSeat) {
+  for (const int m : {owner(), (owner() + 1) % managers}) {
+    const auto sid = "s" + std::to_string(m);
+    EXPECT_EQ(get(m, sid, token("ann" + sid, 10s, 1)), 200);
+    EXPECT_EQ(in_book(), 1u);
+    restart(m);
+    EXPECT_EQ(in_book(), 1u) << "held for its viewer";
+    EXPECT_EQ(get((m + 1) % managers, "other", token("bob", 60s, 1)), 503);
+    EXPECT_EQ(get(m, sid, token("ann" + sid, 30s, 1), 1), 200);
+    EXPECT_EQ(in_book(), 1u);
+    net.run(net.now() + 9s);
+    EXPECT_EQ(in_book(), 0u);
+  }
+  // One whose viewer does not come back is free after the stated time.
+  EXPECT_EQ(get(0, "gone", token("gone", 60s, 1)), 200);
+  restart(0);
+  net.run(net.now() + 4s);
+  EXPECT_EQ(in_book(), 1u);
+  net.run(net.now() + 2s);
+  EXPECT_EQ(in_book(), 0u);
+}
+
+TEST_F(Hall, CutOffWhatPlaysGoesOnAndNothingNewIsCounted) {
+  const int cut = (owner() + 1) % managers, other = (owner() + 2) % managers;
+  EXPECT_EQ(get(cut, "s1", token("ann", 5s, 1)), 200);
+  net.lost = [&](int from, int to) {
+    return (from == cut && to < managers) || (to == cut && from < managers);
+  };
+  EXPECT_EQ(get(cut, "s1", "", 1), 200) << "what is held plays";
+  const auto asked = ask(cut, "s2", token("bob", 5s, 1));
+  EXPECT_EQ(status(asked, 1500ms), 503);
+  EXPECT_NE(viewer.peers[asked].got.find("can't be counted now"), std::string::npos);
+  EXPECT_EQ(get(other, "s3", token("cy", 60s, 1)), 503) << "the seat is still the one's that is cut off";
+  // Past its token's time and grace it is nobody's, on both sides.
+  for (int i = 2; i < 8; ++i) {
+    net.run(net.now() + 1s);
+    get(cut, "s1", "", i);
+  }
+  EXPECT_EQ(get(cut, "s1", "", 9), 401) << "it ended with its token";
+  net.run(net.now() + 2s);
+  EXPECT_EQ(get(other, "s3", token("cy", 60s, 1)), 200);
+  net.lost = {};
+  net.run(net.now() + 2s);
+  EXPECT_EQ(get(cut, "s4", token("di", 60s, 1)), 503);
+}
+
+TEST_F(Hall, ACrowdAtThreeManagersGetsTheLastSeatsAndNoMore) {
+  std::vector<Link> all;
+  for (int i = 0; i < 60; ++i) {
+    if (i == 30) {
+      issuer.rotate();
+      serves(keys, issuer.key_set());
+      net.run(net.now() + 1200ms);  // keys are fetched again at a pace
+    }
+    all.push_back(ask(i % managers, "s" + std::to_string(i), token("v" + std::to_string(i), 60s, 5)));
+  }
+  std::map<int, int> counts;
+  net.run(net.now() + 500ms);
+  for (const auto link : all) ++counts[status(link, Span(0))];
+  EXPECT_EQ(counts[200], 5);
+  EXPECT_EQ(counts[503], 55);
+  EXPECT_EQ(in_book(), 5u);
+  net.run(net.now() + 5s);
+  EXPECT_EQ(in_book(), 0u) << "none leaked";
+  for (const auto& front : fronts) {
+    EXPECT_EQ(front->seats()->sums().held + front->seats()->sums().asked, 0u);
+    EXPECT_EQ(front->held().playbacks, 0u);
+  }
+}
+
+TEST_F(Hall, ATokenThatExpiresWhileItPlaysGetsItsGraceAndARenewalGoesUnnoticed) {
+  EXPECT_EQ(get(0, "s1", token("ann", 3s)), 200);
+  EXPECT_EQ(get(1, "s2", token("bob", 3s)), 200);
+  for (int i = 1; i < 10; ++i) {
+    net.run(net.now() + 700ms);
+    EXPECT_EQ(get(1, "s2", i == 3 ? token("bob", 30s) : "", i), 200) << i;
+    const auto ann = get(0, "s1", "", i);
+    if (i < 4) {
+      EXPECT_EQ(ann, 200) << i << ": within its time and the grace";
+    }
+    if (i > 5) {
+      EXPECT_EQ(ann, 401) << i;
+    }
+  }
+  EXPECT_EQ(set_ups, 2) << "nothing was set up twice";
+}
+
+TEST_F(Hall, ADiskThatRefusesGivesNoSeat) {
+  net.keep_fails = "full";
+  EXPECT_EQ(status(ask(0, "s1", token("ann")), 1500ms), 503);
+  EXPECT_EQ(set_ups, 0);
+}
+
+TEST_F(Hall, AnIssuerThatIsDownAtTheStartIsWaitedFor) {
+  net.kill(issuer_host);
+  restart(0);
+  EXPECT_EQ(status(ask(0, "s1", token("ann")), 1500ms), 503);
+  net.replace(issuer_host, keys);
+  net.run(net.now() + 2500ms);
+  EXPECT_EQ(get(0, "s1", token("ann")), 200);
+}
+
+TEST_F(Hall, AStrangerIsNoPeer) {
+  wrong_key = (owner() + 1) % managers;
+  restart(wrong_key);
+  EXPECT_EQ(status(ask(wrong_key, "s1", token("ann")), 1500ms), 503)
+      << "its words are signed with another key";
+  EXPECT_EQ(in_book(), 0u);
+  // Bytes that are no frame end their connection and nothing else.
+  for (const auto& bytes : {std::string("GET / HTTP/1.1\r\n\r\n"), std::string(4, '\xff'),
+                            std::string(4, '\0') + "x", std::string("\0\0\0\4abcd", 8)}) {
+    const Link link = next_link++;
+    viewer.next.push_back(Dial{link, "", Net::port(owner(), 2)});
+    net.poke(viewer_host);
+    net.run(net.now() + 5ms);
+    viewer.next.push_back(Send{link, bytes});
+    net.poke(viewer_host);
+    net.run(net.now() + 50ms);
+    EXPECT_TRUE(viewer.peers[link].ended);
+  }
+  EXPECT_EQ(get(owner(), "s2", token("bob")), 200);
+}
+
+}  // namespace
+}  // namespace violettide::manager
