--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -57,6 +57,7 @@
     budget();
     listed();
     steady();
+    seats();
     sums();
     std::stable_sort(verdict_.broken.begin(), verdict_.broken.end(),
                      [](auto& a, auto& b) { return a.at_us < b.at_us; });
@@ -373,6 +374,53 @@
     }
   }
 
+  // Seats of teams over all managers, told as rule 9: from a playback's answer to its last object it surely
+  // has one, and no more of a team are had at once than there are.
+  void seats() {
+    if (!day_.deployment.front.entitlement.on) return;
+    struct Playing {
+      std::string team;
+      std::uint64_t from = 0, to = 0;
+      const Passed* record = nullptr;
+    };
+    std::map<std::string, Playing> now;  // by session
+    std::map<std::string, std::vector<std::pair<std::uint64_t, int>>> steps;
+    std::map<std::string, std::string> team_of;
+    const auto over = [&](const Playing& playing) {
+      if (playing.from == 0 || playing.to <= playing.from) return;
+      steps[playing.team].emplace_back(playing.from, 1);
+      steps[playing.team].emplace_back(playing.to, -1);
+      ++verdict_.seats;
+    };
+    for (const auto& record : records_) {
+      if (record.kind() == Passed::ASKED) {
+        auto& playing = now[record.sid()];
+        over(playing);
+        playing = {record.state(), 0, 0, &record};
+      } else if (record.kind() == Passed::ANSWERED && record.status() == 200) {
+        auto& playing = now[record.sid()];
+        if (playing.team.ends_with(" bad"))
+          broke(9, record.at_us(), "a bad token of " + playing.team + " was let in",
+                {playing.record, &record});
+        playing.from = playing.to = record.at_us();
+      } else if (record.kind() == Passed::OBJECT && record.status() == 200) {
+        now[record.sid()].to = record.at_us();
+      }
+    }
+    for (const auto& [sid, playing] : now) over(playing);
+    for (auto& [team, all] : steps) {
+      std::sort(all.begin(), all.end());
+      int held = 0;
+      for (const auto& [at, by] : all) {
+        held += by;
+        if (by > 0 && held > day_.issuer.seats)
+          broke(9, at,
+                team + " plays " + std::to_string(held) + " on " + std::to_string(day_.issuer.seats) +
+                    " seats");
+      }
+    }
+  }
+
   // What HLS players must not be shown, told as rule 8.
   void steady() {
     for (const auto& record : records_) {
@@ -468,13 +516,14 @@
   std::snprintf(line, sizeof line, "%-12s %90s %10.1f %10.1f %6.1f%%\n", "all", "", offered, earned,
                 offered > 0 ? 100 * earned / offered : 0);
   text += line;
-  for (int rule = 1; rule <= 8; ++rule) {
+  for (int rule = 1; rule <= 9; ++rule) {
     const auto count =
         std::count_if(verdict.broken.begin(), verdict.broken.end(), [&](auto& b) { return b.rule == rule; });
     std::snprintf(line, sizeof line, "%s %d: %s",
                   rule < 7    ? "rule"
                   : rule == 7 ? "catalogue, told as rule"
-                              : "HLS, told as rule",
+                  : rule == 8 ? "HLS, told as rule"
+                              : "seats, told as rule",
                   rule, count == 0 ? "kept\n" : "");
     text += line;
     if (count > 0) text += "BROKEN " + std::to_string(count) + " times\n";
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -10,11 +10,18 @@
 namespace violettide::cli {
 
 struct ServeWords {
-  std::string settings, name, hall, keep_in, log, ports_to, hls_secrets;
+  std::string settings, name, hall, keep_in, log, ports_to, hls_secrets, peers_key;
+  std::vector<std::string> peers;  // NAME:PORT, in place of the settings'
+  std::optional<std::uint16_t> keys_port;
   std::optional<std::uint16_t> port, list_port, control_port, feed_port;
   std::optional<int> fronts;
   std::uint64_t seed = 1;
 };
+struct SeatsWords {
+  std::string folder;
+};
+int run_seats(const SeatsWords& words);
+
 int run_serve(const ServeWords& words);
 
 struct StandinWords {
--- a/src/cli/day.cpp
+++ b/src/cli/day.cpp
@@ -2,9 +2,12 @@
 // stops managers as the script says, and audits what passed.
 #include "standins/day.h"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -21,6 +24,7 @@
 #include "audit/audit.h"
 #include "cli/commands.h"
 #include "runtime/runtime.h"
+#include "standins/issuer.h"
 
 extern char** environ;
 
@@ -110,6 +114,21 @@
   }
 }
 
+// One that nothing listens at now; managers must know each other's before they start.
+std::uint16_t free_port() {
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof address;
+  const bool bound = socket >= 0 &&
+                     bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0 &&
+                     getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+  if (socket >= 0) close(socket);
+  if (!bound) throw Unplayable{std::string("no port is free: ") + std::strerror(errno)};
+  return ntohs(address.sin_port);
+}
+
 class Played {
  public:
   Played(const DayWords& words, const standins::Day& day, std::string folder)
@@ -122,6 +141,11 @@
       if (kind == ".ports" || kind == ".port" || kind == ".log" || kind == ".err")
         std::filesystem::remove(entry.path());
     }
+    if (const auto& gate = day_.deployment.front.entitlement.gate; day_.deployment.front.entitlement.on) {
+      const auto turns = static_cast<int>((day_.length + 30s) / day_.issuer.rotate) + 2;
+      std::ofstream(folder_ + "/issuer.keys")
+          << standins::Issuer::made(gate.issuer, gate.audience, turns).written();
+    }
     const auto zero = runtime::Loop::machine_clock_us() + 1'500'000;  // for everybody to have started
     const auto zero_text = std::to_string(zero);
     Child boxes({"violettide", "boxes", words_.day, "--folder", folder_, "--zero-us", zero_text, "--ports-to",
@@ -129,10 +153,15 @@
                 folder_ + "/boxes.err");
     const auto service_ports = ports_in(folder_ + "/boxes.ports", boxes);
     list_port_ = service_ports.at(day_.boxes.size());
-    if (day_.deployment.front.catalogued) feed_port_ = service_ports.back();
+    if (day_.deployment.front.catalogued) feed_port_ = service_ports.at(day_.boxes.size() + 1);
     // One secret for all managers of the day: an address must outlive the process that gave it out.
     if (day_.deployment.hls)
       std::ofstream(folder_ + "/hls.secrets") << "day " << day_.seed << " " << zero << "\n";
+    if (day_.deployment.front.entitlement.on) {
+      keys_port_ = service_ports.back();
+      std::ofstream(folder_ + "/peers.key") << "day " << day_.seed << " " << zero << "\n";
+      for (int i = 0; i < day_.managers; ++i) peer_ports_.push_back(free_port());
+    }
     managers_.resize(static_cast<std::size_t>(day_.managers));
     ports_.resize(managers_.size());
     for (int i = 0; i < day_.managers; ++i) {
@@ -217,6 +246,14 @@
       words.push_back("--feed-port");
       words.push_back(std::to_string(feed_port_));
     }
+    if (day_.deployment.front.entitlement.on) {
+      words.insert(words.end(),
+                   {"--keys-port", std::to_string(keys_port_), "--peers-key", folder_ + "/peers.key"});
+      for (int p = 0; p < day_.managers; ++p) {
+        words.push_back("--peer");
+        words.push_back(name(p) + ":" + std::to_string(peer_ports_[static_cast<std::size_t>(p)]));
+      }
+    }
     put(trace::Passed::STARTED, i);
     managers_[i] = Child(words, folder_ + "/" + name(i) + ".err");
     down_[i] = false;
@@ -274,7 +311,8 @@
   const standins::Day& day_;
   std::string folder_;
   trace::Writer trace_;
-  std::uint16_t list_port_ = 0, feed_port_ = 0;
+  std::uint16_t list_port_ = 0, feed_port_ = 0, keys_port_ = 0;
+  std::vector<std::uint16_t> peer_ports_;
   std::vector<Child> managers_;
   std::vector<std::uint16_t> ports_;
   std::map<int, bool> down_;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -26,6 +26,9 @@
   serving->add_option("--log", serve.log, "log file; standard error if none");
   serving->add_option("--ports-to", serve.ports_to, "write the bound port here once it listens");
   serving->add_option("--hls-secrets", serve.hls_secrets, "file of the second front's secrets, one a line");
+  serving->add_option("--peer", serve.peers, "NAME:PORT of each manager of the hall, this one too");
+  serving->add_option("--peers-key", serve.peers_key, "file of the key that managers sign with");
+  serving->add_option("--keys-port", serve.keys_port, "the issuer's port, in place of the settings'");
   serving->add_option("--seed", serve.seed, "of the module's chances");
   serving->callback([&] { result = run_serve(serve); });
 
@@ -92,6 +95,12 @@
   cat_diff->add_option("other", catalogue.other)->required();
   cat_diff->callback([&] { result = run_catalogue_diff(catalogue); });
 
+  SeatsWords seats;
+  auto* seating =
+      app.add_subcommand("seats", "the seats that a manager's log holds, and what is odd about them");
+  seating->add_option("folder", seats.folder, "where the manager keeps what survives a restart")->required();
+  seating->callback([&] { result = run_seats(seats); });
+
   CLI11_PARSE(app, count, words);
   return result;
 }
--- a/src/cli/services.cpp
+++ b/src/cli/services.cpp
@@ -3,16 +3,19 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <random>
 
 #include "cataloguestore/store.h"
 #include "cli/commands.h"
+#include "entitlement/seatlog/seatlog.h"
 #include "manager/manager.h"
 #include "runtime/runtime.h"
 #include "standins/fleet.h"
@@ -93,6 +96,8 @@
     std::cerr << "violettide: " << failed.what << '\n';
   } catch (const trace::Failed& failed) {
     std::cerr << "violettide: " << failed.what << '\n';
+  } catch (const entitlement::SeatLog::Unusable& failed) {
+    std::cerr << "violettide: " << failed.what << '\n';
   } catch (const cataloguestore::Unusable& failed) {
     std::cerr << "violettide: " << failed.what << '\n';
   } catch (const spdlog::spdlog_ex& failed) {
@@ -124,6 +129,56 @@
 
 namespace {
 
+// Two books on one disk thread: the catalogue's and the seats', told apart by their tickets.
+class Books : public runtime::Disk {
+ public:
+  Books(runtime::Disk* catalogue, runtime::Disk* seats) : catalogue_(catalogue), seats_(seats) {}
+  std::string keep(std::uint64_t ticket, const std::string& bytes, bool whole) override {
+    auto* book = ticket >= seat_tickets ? seats_ : catalogue_;
+    return book ? book->keep(ticket, bytes, whole) : "";
+  }
+
+ private:
+  runtime::Disk* catalogue_;
+  runtime::Disk* seats_;
+};
+
+// The managers of the hall by words in place of the settings', this one's place among them, and their key.
+bool take_peers(const ServeWords& words, const std::string& key_from, const std::string& own,
+                peers::PeerTerms& terms) {
+  if (!words.peers.empty()) terms.all.clear();
+  for (const auto& word : words.peers) {
+    const auto colon = word.rfind(':');
+    const int port = colon == std::string::npos ? 0 : std::atoi(word.c_str() + colon + 1);
+    if (port < 1 || port > 65535) {
+      std::cerr << "violettide: --peer " << word << ": expected NAME:PORT\n";
+      return false;
+    }
+    terms.all.push_back({word.substr(0, colon), "127.0.0.1", static_cast<std::uint16_t>(port)});
+  }
+  if (terms.all.empty()) return true;
+  const auto at =
+      std::find_if(terms.all.begin(), terms.all.end(), [&](auto& peer) { return peer.name == own; });
+  if (at == terms.all.end()) {
+    std::cerr << "violettide: no peer is named '" << own << "', as this manager is\n";
+    return false;
+  }
+  terms.own = static_cast<peers::PeerIndex>(at - terms.all.begin());
+  const auto file = words.peers_key.empty() ? key_from : words.peers_key;
+  if (!file.empty()) {
+    std::ifstream lines(file);
+    if (!std::getline(lines, terms.key)) {
+      std::cerr << "violettide: " << file << ": no key in it\n";
+      return false;
+    }
+  }
+  if (terms.key.empty()) {
+    std::cerr << "violettide: managers that speak to each other take a key: peers(key_from = ...)\n";
+    return false;
+  }
+  return true;
+}
+
 // The second front's secrets: of a file, of the settings, or one of chance, whose addresses end with this
 // process. False, and told, where the file has none.
 bool take_secrets(const std::string& file, std::vector<std::string>& secrets) {
@@ -180,15 +235,35 @@
   if (deployment.hls) {
     const auto& file = words.hls_secrets.empty() ? deployment.hls_secrets_from : words.hls_secrets;
     if (!take_secrets(file, front.hls.passes.secrets)) return 2;
-    front.wall_at_zero =
-        std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch());
   }
+  if (!take_peers(words, deployment.peers_key_from, front.name, front.peers)) return 2;
+  if (words.keys_port) front.entitlement.keys_port = *words.keys_port;
+  front.wall_at_zero = std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch());
+  front.peer_door = front.catalogued ? 2 : 1;
   const auto kept = deployment.keep_in.empty()
                         ? std::string()
                         : settings::file_text(deployment.keep_in + "/boxes.json").value_or("");
   return guarded([&] {
     const auto who = front.name;
     const auto log = log_to(words.log, who);
+    std::unique_ptr<entitlement::SeatLog> seats;
+    if (front.entitlement.on && deployment.keep_in.empty())
+      std::cerr << "violettide: no folder is kept in: seats are forgotten when this process ends\n";
+    if (front.entitlement.on && !deployment.keep_in.empty()) {
+      seats = std::make_unique<entitlement::SeatLog>(deployment.keep_in);
+      // What no longer matters is left out of the log here, once for each start.
+      auto terms = front.entitlement.ledger;
+      terms.own = front.peers.own;
+      for (const auto& peer : front.peers.all) terms.peers.push_back(peer.name);
+      if (terms.peers.empty()) terms.peers.push_back(front.name);
+      const auto present = entitlement::Ledger(terms, 0, front.wall_at_zero, seats->records()).snapshot();
+      front.entitlement.restart = seats->restart();
+      front.entitlement.kept = present;
+      seats->begin_with(present);
+      log(Span(0), Say{"seats_restored",
+                       {{"records", static_cast<std::int64_t>(present.size())},
+                        {"start", static_cast<std::int64_t>(seats->restart())}}});
+    }
     manager::Manager manager(front, words.seed, kept, nullptr);
     std::vector<runtime::Listening> doors{{deployment.listen_address, deployment.listen_port}};
     std::unique_ptr<cataloguestore::Store> store;
@@ -202,14 +277,19 @@
         if (found.damaged) std::cerr << "violettide: the catalogue was damaged: " << found.told << '\n';
       }
     }
-    runtime::Loop loop(manager, doors, log, deployment.keep_in, store.get());
+    if (!front.peers.all.empty()) {
+      const auto& own = front.peers.all[front.peers.own];
+      doors.push_back({own.address, own.port});
+    }
+    Books books(store.get(), seats.get());
+    runtime::Loop loop(manager, doors, log, deployment.keep_in, store || seats ? &books : nullptr);
     std::vector<std::uint16_t> ports;
     for (int door = 0; door < static_cast<int>(doors.size()); ++door) ports.push_back(loop.port(door));
     write_ports(words.ports_to, ports);
     if (words.log.empty()) {
       std::cerr << "violettide: " << who << " listens at http://" << deployment.listen_address << ":"
                 << ports[0] << "/\n";
-      if (ports.size() > 1)
+      if (front.catalogued)
         std::cerr << "violettide: its catalogue at http://" << deployment.control_address << ":" << ports[1]
                   << "/catalogue\n";
     }
@@ -218,6 +298,53 @@
   });
 }
 
+// What the log holds, and what an operator who suspects a leak should look at.
+int run_seats(const SeatsWords& words) {
+  try {
+    const auto records = entitlement::SeatLog::look(words.folder);
+    const auto now = std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch());
+    std::map<entitlement::SeatKey, entitlement::Record> book, own;
+    for (const auto& record : records) {
+      using What = entitlement::Record::What;
+      if (record.what == What::asked) own[record.key] = record;
+      if (record.what == What::gave_back) own.erase(record.key);
+      if (record.what == What::given) book[record.key] = record;
+      if (record.what == What::freed) {
+        const auto held = book.find(record.key);
+        if (held != book.end() && held->second.holder == record.holder &&
+            held->second.number == record.number)
+          book.erase(held);
+      }
+    }
+    std::size_t past = 0;
+    for (const auto& [key, record] : book) {
+      const double left = std::chrono::duration<double>(record.until - now).count();
+      past += left < 0;
+      std::printf("given  %-20s %-40s manager %u, %.0f s %s\n", key.team.c_str(), key.who.c_str(),
+                  record.holder, std::abs(left),
+                  left < 0 ? "past its time: freed at the next claim" : "left");
+    }
+    for (const auto& [key, record] : own)
+      std::printf("asked  %-20s %-40s by this manager\n", key.team.c_str(), key.who.c_str());
+    std::printf("%zu seats given, %zu of them past their time; %zu asked for by this manager; %zu records\n",
+                book.size(), past, own.size(), records.size());
+    return 0;
+  } catch (const entitlement::SeatLog::Unusable& unusable) {
+    std::cerr << "violettide: " << unusable.what << '\n';
+    return 2;
+  }
+}
+
+namespace {
+
+standins::Issuer issuer_in(const std::string& folder, const standins::Day& day) {
+  const auto& gate = day.deployment.front.entitlement.gate;
+  return standins::Issuer::read(settings::file_text(folder + "/issuer.keys").value_or("[]"), gate.issuer,
+                                gate.audience);
+}
+
+}  // namespace
+
 int run_boxes(const StandinWords& words) {
   auto read = standins::read_day(words.day);
   if (const auto* mistakes = std::get_if<settings::Mistakes>(&read)) return tell(*mistakes);
@@ -228,6 +355,7 @@
     std::vector<runtime::Listening> doors(day.boxes.size(), {"127.0.0.1", 0});
     doors.push_back({"127.0.0.1", day.deployment.front.list_port});
     if (day.deployment.front.catalogued) doors.push_back({"127.0.0.1", day.deployment.front.feed_port});
+    if (day.deployment.front.entitlement.on) doors.push_back({"127.0.0.1", 0});
     runtime::Loop loop(later, doors, log_to(words.folder.empty() ? "" : words.folder + "/boxes.log", "boxes"),
                        "");
     std::vector<std::uint16_t> ports;
@@ -235,6 +363,7 @@
     auto fleet = std::make_unique<standins::Fleet>(day, ports, into_day(loop.origin_us(), words.zero_us),
                                                    [&](const trace::Passed& record) { trace.put(record); });
     fleet->clock_at(loop.origin_us());
+    if (day.deployment.front.entitlement.on) fleet->issue_by(issuer_in(words.folder, day));
     later.core = std::move(fleet);
     write_ports(words.ports_to, ports);
     if (words.ports_to.empty())
@@ -273,6 +402,11 @@
     later.core = std::make_unique<standins::Viewers>(day, doors, into_day(loop.origin_us(), words.zero_us),
                                                      loop.origin_us(),
                                                      [&](const trace::Passed& record) { trace.put(record); });
+    if (day.deployment.front.entitlement.on)
+      static_cast<standins::Viewers&>(*later.core)
+          .licensed_by(issuer_in(words.folder, day),
+                       std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch()) -
+                           loop.now());
     loop.run();
     return 0;
   });
--- a/src/entitlement/seatlog/seatlog.cpp
+++ b/src/entitlement/seatlog/seatlog.cpp
@@ -81,6 +81,8 @@
 }
 SeatLog::~SeatLog() = default;
 
+std::vector<Record> SeatLog::look(const std::string& folder) { return Database(folder + "/seats.db").all(); }
+
 void SeatLog::begin_with(const std::vector<Record>& records) {
   database_->run("BEGIN IMMEDIATE");
   database_->run("DELETE FROM log");
--- a/src/entitlement/seatlog/seatlog.h
+++ b/src/entitlement/seatlog/seatlog.h
@@ -21,6 +21,8 @@
   ~SeatLog() override;
   const std::vector<Record>& records() const { return records_; }
   std::uint32_t restart() const { return restart_; }  // of this process: one more than the last
+  // Reads alone; the log is neither begun anew nor counted as a start. Throws Unusable.
+  static std::vector<Record> look(const std::string& folder);
   // In place of all records, once a ledger was made of them.
   void begin_with(const std::vector<Record>& records);
   std::string keep(std::uint64_t ticket, const std::string& bytes, bool whole) override;
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -188,7 +188,7 @@
 // ---- viewers ----
 
 void Manager::on(const Accepted& what) {
-  if (what.door == 2 && peers_) return peers_->accepted(now_, what.link, *acts_);
+  if (peers_ && what.door == terms_.peer_door) return peers_->accepted(now_, what.link, *acts_);
   if (what.door != 0) {
     auto control = std::make_unique<Control>();
     control->link = what.link;
--- a/src/manager/terms.h
+++ b/src/manager/terms.h
@@ -83,6 +83,7 @@
   HlsTerms hls;
   EntitlementTerms entitlement;
   peers::PeerTerms peers;  // none: this manager is alone
+  int peer_door = 2;       // where other managers come in
   Span wall_at_zero{0};    // the machine's clock at the core's time 0
   // With a catalogue, holders come from it alone; without, from `recordings` and names' hashes.
   bool catalogued = false;
--- a/src/settings/deployment.cpp
+++ b/src/settings/deployment.cpp
@@ -113,6 +113,27 @@
         {"steady", number, of(3), 0, 1000},
         {"grace", number, of(3), 0, 1000}},
        true},
+      {"entitlement",
+       {{"issuer", text, given},
+        {"audience", text, as(std::string())},
+        {"keys_address", text, as(std::string("127.0.0.1"))},
+        {"keys_port", whole, count(0), 0, 65535},
+        {"keys_path", text, as(std::string("/keys"))},
+        {"skew", span, as(Span(5s)), 0, 3600},
+        {"grace", span, as(Span(30s)), 0, day_s},
+        {"resume", span, as(Span(15s)), 0, 3600},
+        {"ask_limit", span, as(Span(1s)), 0.01, 60},
+        {"keys_every", span, as(Span(5min)), 0.1, day_s},
+        {"keys_least", span, as(Span(10s)), 0.1, day_s},
+        {"keys_kept", span, as(Span(1h)), 1, 30 * day_s},
+        {"tokens_kept", whole, count(10'000), 1, 1e7},
+        {"longest_come_back", span, as(Span(30s)), 1, 3600}},
+       true},
+      {"peer",
+       {{"name", text, given},
+        {"address", text, as(std::string("127.0.0.1"))},
+        {"port", whole, given, 1, 65535}}},
+      {"peers", {{"key", text, as(std::string())}, {"key_from", text, as(std::string())}}, true},
       {"recording",
        {{"title", text, given},
         {"first_cell", whole, given, 0, 1e5},
@@ -248,6 +269,33 @@
       terms.lists_kept_bytes = static_cast<std::size_t>(call.whole("kept_bytes"));
       terms.show.steady_targets = call.number("steady");
       terms.show.grace_targets = call.number("grace");
+    } else if (call.name == "entitlement") {
+      auto& terms = front.entitlement;
+      terms.on = true;
+      terms.gate.issuer = call.text("issuer");
+      terms.gate.audience = call.text("audience");
+      terms.gate.skew = terms.ledger.skew = call.span("skew");
+      terms.gate.grace = call.span("grace");
+      terms.gate.fetch_every = call.span("keys_every");
+      terms.gate.fetch_least = call.span("keys_least");
+      terms.gate.keys_kept = call.span("keys_kept");
+      terms.gate.most_good = terms.gate.most_bad = static_cast<std::size_t>(call.whole("tokens_kept"));
+      terms.ledger.resume = call.span("resume");
+      terms.ledger.ask_limit = call.span("ask_limit");
+      terms.keys_address = call.text("keys_address");
+      terms.keys_port = static_cast<std::uint16_t>(call.whole("keys_port"));
+      terms.keys_path = call.text("keys_path");
+      terms.longest_come_back = call.span("longest_come_back");
+    } else if (call.name == "peer") {
+      for (const auto& other : front.peers.all) {
+        if (other.name == call.text("name"))
+          wrong(call.place_of("name"), "two managers named '" + call.text("name") + "'");
+      }
+      front.peers.all.push_back(
+          {call.text("name"), call.text("address"), static_cast<std::uint16_t>(call.whole("port"))});
+    } else if (call.name == "peers") {
+      front.peers.key = call.text("key");
+      made.peers_key_from = call.text("key_from");
     } else if (call.name == "recording") {
       manager::Recording recording{
           call.text("title"),
--- a/src/standins/day.cpp
+++ b/src/standins/day.cpp
@@ -31,6 +31,7 @@
                                  {Ill::catalogue_moves, "catalogue_moves"},
                                  {Ill::feed_broken, "feed_broken"},
                                  {Ill::stall, "stall"},
+                                 {Ill::issuer_down, "issuer_down"},
                                  {Ill::list_behind, "list_behind"},
                                  {Ill::list_gaps, "list_gaps"},
                                  {Ill::list_nonsense, "list_nonsense"}};
@@ -73,6 +74,13 @@
         {"rejoin", span, as(Span(1s)), 0, 600},
         {"crowd_title", whole, as(std::int64_t{0}), 0, 1e6}},
        true},
+      {"issuer",
+       {{"rotate", span, as(Span(5s)), 0.1, 600},
+        {"token_life", span, as(Span(4s)), 0.1, 86400},
+        {"teams", whole, as(std::int64_t{3}), 1, 1000},
+        {"seats", whole, as(std::int64_t{10}), 0, 1e6},
+        {"bad", part, as(0.05)}},
+       true},
       {"trouble",
        {{"kind", text, {}},
         {"at", span, {}, 0, 600},
@@ -88,7 +96,7 @@
 bool of_managers(Ill ill) { return ill == Ill::roll || ill == Ill::stall; }
 bool of_none(Ill ill) {
   return ill == Ill::crowd || ill == Ill::list_late || ill == Ill::list_down || ill == Ill::catalogue_moves ||
-         ill == Ill::feed_broken;
+         ill == Ill::feed_broken || ill == Ill::issuer_down;
 }
 
 }  // namespace
@@ -182,6 +190,15 @@
   viewers.returns = v.number("returns");
   viewers.rejoin = v.span("rejoin");
   viewers.crowd_title = static_cast<int>(v.whole("crowd_title"));
+  for (const auto& call : read.calls) {
+    if (call.name != "issuer") continue;
+    if (!day.deployment.front.entitlement.on) wrong(call.place, "the settings lack 'entitlement'");
+    day.issuer.rotate = call.span("rotate");
+    day.issuer.token_life = call.span("token_life");
+    day.issuer.teams = static_cast<int>(call.whole("teams"));
+    day.issuer.seats = static_cast<int>(call.whole("seats"));
+    day.issuer.bad = call.number("bad");
+  }
   for (const auto& call : read.calls) {
     if (call.name != "trouble") continue;
     Trouble trouble;
--- a/src/standins/day.h
+++ b/src/standins/day.h
@@ -38,6 +38,7 @@
   stall,            // managers stand still
   list_behind,      // a box's live playlists end `size` segments early
   list_gaps,        // they lack segments, and number the rest as if those had never been
+  issuer_down,      // the issuer's keys can't be had
   list_nonsense,    // a box's playlists are malformed or hostile
 };
 struct Trouble {
@@ -62,6 +63,12 @@
   int crowd_title = 0;
 };
 
+struct IssuerTerms {
+  Span rotate{5'000'000}, token_life{4'000'000};
+  int teams = 3, seats = 10;
+  double bad = 0.05;  // part of the viewers whose tokens are forged or expired
+};
+
 struct Day {
   settings::Deployment deployment;
   Span length{0};
@@ -74,6 +81,7 @@
   double live_titles = 0;  // part of the titles that are live, for viewers that read HLS
   double vary = 0.15;      // true rates leave the ladder by so much
   ViewerTerms viewers;
+  IssuerTerms issuer;  // where the settings ask for tokens
   std::vector<Trouble> troubles;
 };
 
--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -281,7 +281,14 @@
     const auto via = http::joined(request->fields, "Via");
     const auto space = via.rfind(' ');
     peer.via = space == std::string::npos ? "" : via.substr(space + 1);
-    if (peer.door > static_cast<int>(boxes_.size())) {
+    if (issuer_ && peer.door == static_cast<int>(boxes_.size()) + (catalogue_ ? 2 : 1)) {
+      issuer_->turn_to(static_cast<int>(std::max(Span(0), day_now()) / day_.issuer.rotate));
+      if (ill_with(-1, Ill::issuer_down))
+        answer(link, peer, 503, {}, "", acts);
+      else
+        answer(link, peer, 200, {{"Content-Type", "application/jwk-set+json"}}, issuer_->key_set(), acts);
+      if (!peers_.contains(link)) return;
+    } else if (peer.door > static_cast<int>(boxes_.size())) {
       serve_feed(link, peer, *request, acts);
       if (!peers_.contains(link)) return;
     } else if (peer.door == static_cast<int>(boxes_.size())) {
--- a/src/standins/fleet.h
+++ b/src/standins/fleet.h
@@ -13,6 +13,7 @@
 #include "seams/seams.h"
 #include "standins/day.h"
 #include "standins/hls_origin.h"
+#include "standins/issuer.h"
 #include "trace/trace.h"
 
 namespace violettide::standins {
@@ -115,8 +116,11 @@
   std::map<std::string, std::vector<int>> lies_on_;  // boxes of each recording
   double moves_due_ = 0;
   bool stopping_ = false;
+  std::optional<Issuer> issuer_;
 
  public:
+  // Publishes its keys at the last door, and turns to the next as the day says.
+  void issue_by(Issuer issuer) { issuer_ = std::move(issuer); }
   // The machine's clock at this core's time 0, for the traces.
   void clock_at(std::uint64_t origin_us) { clock_offset_ = origin_us; }
 };
--- a/src/standins/issuer.cpp
+++ b/src/standins/issuer.cpp
@@ -6,6 +6,8 @@
 #include <openssl/evp.h>
 #include <openssl/pem.h>
 
+#include <algorithm>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 
 #include "passes/passes.h"
@@ -62,9 +64,42 @@
   if (keys_.size() > 2) keys_.erase(keys_.begin());
 }
 
+Issuer Issuer::made(std::string name, std::string audience, int keys) {
+  Issuer issuer(std::move(name), std::move(audience));
+  for (int i = 0; i < keys; ++i)
+    issuer.keys_.push_back(
+        make(issuer.name_ + "-" + std::to_string(i), i % 3 == 2 ? Algorithm::rs256 : Algorithm::es256));
+  issuer.at_ = 0;
+  return issuer;
+}
+
+Issuer Issuer::read(const std::string& written, std::string name, std::string audience) {
+  Issuer issuer(std::move(name), std::move(audience));
+  for (const auto& key : json::parse(written))
+    issuer.keys_.push_back(
+        {key["id"], key["pem"], key["jwk"], static_cast<Algorithm>(key["algorithm"].get<int>())});
+  issuer.at_ = 0;
+  return issuer;
+}
+
+std::string Issuer::written() const {
+  auto all = json::array();
+  for (const auto& key : keys_)
+    all.push_back({{"id", key.id},
+                   {"pem", key.private_pem},
+                   {"jwk", key.jwk},
+                   {"algorithm", static_cast<int>(key.algorithm)}});
+  return all.dump();
+}
+
+void Issuer::turn_to(int key) { at_ = std::clamp(key, 0, static_cast<int>(keys_.size()) - 1); }
+
 std::string Issuer::key_set() const {
   json set{{"keys", json::array()}};
-  for (const auto& key : keys_) set["keys"].push_back(json::parse(key.jwk));
+  for (int i = 0; i < static_cast<int>(keys_.size()); ++i) {
+    if (at_ < 0 || std::abs(i - at_) <= 1)
+      set["keys"].push_back(json::parse(keys_[static_cast<std::size_t>(i)].jwk));
+  }
   return set.dump();
 }
 
@@ -85,12 +120,12 @@
 }
 
 std::string Issuer::token(const Says& says) const {
-  const auto& key = keys_.back();
+  const auto& key = signs();
   return entitlement::sign(claims(says), key.algorithm, key.id, key.private_pem);
 }
 
 std::string Issuer::forged(const Says& says) const {
-  const auto key = make(keys_.back().id, keys_.back().algorithm);
+  const auto key = make(signs().id, signs().algorithm);
   return entitlement::sign(claims(says), key.algorithm, key.id, key.private_pem);
 }
 
--- a/src/standins/viewers.cpp
+++ b/src/standins/viewers.cpp
@@ -76,7 +76,8 @@
   record.set_rung(kind == trace::Passed::OBJECT || kind == trace::Passed::ANSWERED ? viewer.rung
                                                                                    : viewer.top);
   record.set_status(status);
-  record.set_state(cause);
+  record.set_state(
+      kind == trace::Passed::ASKED && issuer_ ? team_of(viewer) + (viewer.bad_token ? " bad" : "") : cause);
   record.set_number(viewer.number);
   record.set_link(viewer.link);
   record.set_value(kind == trace::Passed::ASKED && viewer.came == now_ ? seconds(viewer.watch) : 0);
@@ -250,10 +251,36 @@
     for (auto& field : hints::cmcd_headers(said)) fields.push_back(std::move(field));
   else if (viewer.hints == 2)
     more = malformed_hints(viewer.number, viewer.sid);
+  if (issuer_) show_token(viewer, fields);
   viewer.request = http::request_text("GET", target, fields);
   viewer.request.insert(viewer.request.size() - 2, more);
 }
 
+// A new token when the last is half over: most are renewed while they play.
+void Viewers::show_token(Viewer& viewer, http::Fields& fields) {
+  issuer_->turn_to(static_cast<int>(std::max(Span(0), day_now()) / day_.issuer.rotate));
+  if (viewer.token.empty() || now_ - viewer.token_at > day_.issuer.token_life / 2) {
+    const auto now = wall_ + now_;
+    Issuer::Says says{viewer.sid + "-" + std::to_string(++viewer.tokens),
+                      "viewer-" + std::to_string(viewer.number),
+                      team_of(viewer),
+                      day_.issuer.seats,
+                      now,
+                      now + day_.issuer.token_life,
+                      Span(0),
+                      {},
+                      {}};
+    if (viewer.tokens == 1) viewer.bad_token = draw() < day_.issuer.bad;
+    if (viewer.bad_token && viewer.number % 2 == 0) says.expires = now - std::chrono::hours(1);
+    viewer.token = viewer.bad_token && viewer.number % 2 == 1 ? issuer_->forged(says) : issuer_->token(says);
+    viewer.token_at = now_;
+  }
+  if (viewer.number % 3 == 0)
+    fields.emplace_back("Cookie", "other=1; CTA-Common-Access-Token=" + viewer.token);
+  else
+    fields.emplace_back("Authorization", "Bearer " + viewer.token);
+}
+
 void Viewers::ask(Viewer& viewer, std::vector<Act>& acts) {
   drain_buffer(viewer);
   if (viewer.first) {
--- a/src/standins/viewers.h
+++ b/src/standins/viewers.h
@@ -12,6 +12,7 @@
 #include "seams/seams.h"
 #include "standins/day.h"
 #include "standins/hls_player.h"
+#include "standins/issuer.h"
 #include "trace/trace.h"
 #include "wheel/wheel.h"
 
@@ -29,6 +30,11 @@
           std::function<void(const trace::Passed&)> sink);
   void handle(Span now, const Happening& what, std::vector<Act>& acts) override;
   std::size_t asked() const { return asked_; }
+  // Viewers show its tokens. `wall`: the machine's clock at this core's time 0.
+  void licensed_by(Issuer issuer, Span wall) {
+    issuer_ = std::move(issuer);
+    wall_ = wall;
+  }
 
  private:
   enum class State { idle, dialing, asking, fetching, resting, over };
@@ -52,6 +58,10 @@
     std::uint64_t bytes = 0;
     std::unique_ptr<HlsPlayer> hls;  // it reads HLS
     HlsPlayer::Ask hls_ask;
+    std::string token;
+    Span token_at{-1};
+    int tokens = 0;
+    bool bad_token = false;
     std::string body;
     bool packed = false;
     double suggested_bits = 0;
@@ -64,6 +74,10 @@
   void arrive(std::vector<Act>& acts, bool crowd);
   void ask(Viewer& viewer, std::vector<Act>& acts);
   void request_text(Viewer& viewer);
+  std::string team_of(const Viewer& viewer) const {
+    return "team-" + std::to_string(viewer.number % static_cast<unsigned>(day_.issuer.teams));
+  }
+  void show_token(Viewer& viewer, http::Fields& fields);
   void begin_hls(Viewer& viewer);
   void next_hls(Viewer& viewer, std::vector<Act>& acts);
   void hls_whole(Viewer& viewer, std::vector<Act>& acts);
@@ -96,6 +110,8 @@
   std::uint32_t next_viewer_ = 1;
   Link next_link_ = 1;
   std::size_t asked_ = 0, requests_ = 0;
+  std::optional<Issuer> issuer_;
+  Span wall_{0};
 };
 
 }  // namespace violettide::standins
