--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -163,6 +163,7 @@
 
 int main(int count, char** words) {
   // One table alone, by its name.
+  if (count == 2 && std::string(words[1]) == "seats") return violettide::bench::seats_table(), 0;
   if (count == 2 && std::string(words[1]) == "hls") return violettide::bench::hls_table(), 0;
   benchmark::Initialize(&count, words);
   if (benchmark::ReportUnrecognizedArguments(count, words)) return 1;
@@ -174,6 +175,7 @@
     std::printf("%4zu changes: median %.1f us, 99th %.1f us\n", changes, time.median_us, time.p99_us);
   }
   violettide::bench::hls_table();
+  violettide::bench::seats_table();
   violettide::bench::catalogue_table(1'000'000);
   return 0;
 }
--- a/bench/path.h
+++ b/bench/path.h
@@ -33,4 +33,7 @@
 // Playlists: cost of reading and writing, reload storms, memory a session.
 void hls_table();
 
+// Seats: tokens judged a second, the ledger beside a central count, its growth and state.
+void seats_table();
+
 }  // namespace violettide::bench
