Walk thousands of playbacks through restarting, cut-off managers; audit a seat log

Need: success is no seat counted twice and none leaked over thousands of playbacks; operators look at logs.

Change: a seeded test of 3,000 playbacks at three managers with restarts, partitions, rotating keys and impatient viewers; messages lost one way; violettide seats show and audit.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -19,6 +19,7 @@
 };
 struct SeatsWords {
   std::string folder;
+  bool audit = false;
 };
 int run_seats(const SeatsWords& words);
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -96,10 +96,18 @@
   cat_diff->callback([&] { result = run_catalogue_diff(catalogue); });
 
   SeatsWords seats;
-  auto* seating =
-      app.add_subcommand("seats", "the seats that a manager's log holds, and what is odd about them");
-  seating->add_option("folder", seats.folder, "where the manager keeps what survives a restart")->required();
-  seating->callback([&] { result = run_seats(seats); });
+  auto* seating = app.add_subcommand("seats", "what a manager's seat log holds");
+  seating->require_subcommand(1);
+  const auto of_folder = [&](CLI::App* command, bool audit) {
+    command->add_option("folder", seats.folder, "where the manager keeps what survives a restart")
+        ->required();
+    command->callback([&, audit] {
+      seats.audit = audit;
+      result = run_seats(seats);
+    });
+  };
+  of_folder(seating->add_subcommand("show", "every seat, with its holder and time"), false);
+  of_folder(seating->add_subcommand("audit", "only what is odd; exit 1 if anything is"), true);
 
   CLI11_PARSE(app, count, words);
   return result;
--- a/src/cli/services.cpp
+++ b/src/cli/services.cpp
@@ -316,18 +316,29 @@
           book.erase(held);
       }
     }
-    std::size_t past = 0;
+    std::size_t past = 0, twice = 0;
+    std::map<std::pair<entitlement::Peer, entitlement::ClaimNumber>, int> claims;  // one has one seat
     for (const auto& [key, record] : book) {
       const double left = std::chrono::duration<double>(record.until - now).count();
+      const bool again = ++claims[{record.holder, record.number}] > 1;
       past += left < 0;
-      std::printf("given  %-20s %-40s manager %u, %.0f s %s\n", key.team.c_str(), key.who.c_str(),
+      twice += again;
+      if (words.audit && left >= 0 && !again) continue;
+      std::printf("given  %-20s %-40s manager %u, %.0f s %s%s\n", key.team.c_str(), key.who.c_str(),
                   record.holder, std::abs(left),
-                  left < 0 ? "past its time: freed at the next claim" : "left");
+                  left < 0 ? "past its time: freed at the next start, or claim of its team" : "left",
+                  again ? "; its claim has another seat too" : "");
     }
-    for (const auto& [key, record] : own)
-      std::printf("asked  %-20s %-40s by this manager\n", key.team.c_str(), key.who.c_str());
-    std::printf("%zu seats given, %zu of them past their time; %zu asked for by this manager; %zu records\n",
-                book.size(), past, own.size(), records.size());
+    for (const auto& [key, record] : own) {
+      if (!words.audit)
+        std::printf("asked  %-20s %-40s by this manager\n", key.team.c_str(), key.who.c_str());
+    }
+    std::printf(
+        "%zu seats given, %zu of them past their time, %zu for a claim that has another; %zu asked for by "
+        "this "
+        "manager; %zu records\n",
+        book.size(), past, twice, own.size(), records.size());
+    if (words.audit && past + twice > 0) return 1;
     return 0;
   } catch (const entitlement::SeatLog::Unusable& unusable) {
     std::cerr << "violettide: " << unusable.what << '\n';
--- a/tests/program/seats_test.cpp
+++ b/tests/program/seats_test.cpp
@@ -2,6 +2,8 @@
 // whatever restarts, is lost or is cut off.
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "entitlement/words/words.h"
 #include "manager/manager.h"
 #include "net.h"
@@ -282,6 +284,70 @@
   EXPECT_EQ(set_ups, 2) << "nothing was set up twice";
 }
 
+TEST_F(Hall, HeardOneWayOnlyNothingIsGivenOutTwice) {
+  const int cut = (owner() + 1) % managers, other = (owner() + 2) % managers;
+  // The owner hears it, and it hears nothing: what was given for it is given back once it can say so.
+  net.lost = [&](int from, int to) { return from == owner() && to == cut; };
+  EXPECT_EQ(status(ask(cut, "s1", token("ann", 60s, 1)), 1500ms), 503);
+  net.lost = {};
+  net.run(net.now() + 6s);
+  EXPECT_EQ(in_book(), 0u);
+  EXPECT_EQ(get(other, "s2", token("bob", 60s, 1)), 200);
+  // And the other way round.
+  net.lost = [&](int from, int to) { return from == cut && to == owner(); };
+  EXPECT_EQ(status(ask(cut, "s3", token("cy", 60s, 1)), 1500ms), 503);
+  net.lost = {};
+  net.run(net.now() + 8s);
+  EXPECT_EQ(in_book(), 0u);
+}
+
+// Thousands of playbacks on a fast clock, managers restarted and cut off amid them.
+TEST_F(Hall, ThousandsOfPlaybacksNeverTakeMoreAndLeakNone) {
+  std::minstd_rand chance(11);
+  constexpr int seats = 12, playbacks = 3000;
+  int plays = 0, turned = 0;
+  std::vector<Link> asked;
+  for (int i = 0; i < playbacks; ++i) {
+    const int m = static_cast<int>(chance() % managers);
+    const auto sid = "s" + std::to_string(i);
+    const auto shown =
+        token("v" + std::to_string(i), Span(2'000'000 + static_cast<int>(chance() % 3'000'000)), seats);
+    asked.push_back(ask(m, sid, shown));
+    if (chance() % 10 == 0)
+      asked.push_back(ask((m + 1) % managers, sid, shown));  // the same viewer, impatient
+    if (chance() % 20 == 0) {
+      issuer.rotate();
+      serves(keys, issuer.key_set());
+    }
+    if (chance() % 300 == 0) restart(static_cast<int>(chance() % managers));
+    if (chance() % 200 == 0) {
+      const int cut = static_cast<int>(chance() % managers);
+      net.lost = [cut](int from, int to) {
+        return (from == cut) != (to == cut) && from < managers && to < managers;
+      };
+    } else if (chance() % 30 == 0) {
+      net.lost = {};
+    }
+    net.run(net.now() + Span(static_cast<int>(chance() % 60'000)));
+    ASSERT_LE(in_book(), static_cast<std::size_t>(seats)) << "after " << i;
+  }
+  net.lost = {};
+  net.run(net.now() + 15s);
+  for (const auto link : asked) {
+    const int answered = status(link, Span(0));
+    plays += answered == 200;
+    turned += answered == 503;
+  }
+  EXPECT_GT(plays, 250) << "twelve seats, held three seconds each at the least, for about a hundred seconds";
+  EXPECT_GT(turned, 100);
+  for (const auto& front : fronts) {
+    const auto sums = front->seats()->sums();
+    EXPECT_EQ(sums.held + sums.asked + sums.in_book, 0u) << "leaked";
+    EXPECT_EQ(front->held().playbacks, 0u);
+  }
+  std::printf("%d play, %d turned away, of %zu asked\n", plays, turned, asked.size());
+}
+
 TEST_F(Hall, ADiskThatRefusesGivesNoSeat) {
   net.keep_fails = "full";
   EXPECT_EQ(status(ask(0, "s1", token("ann")), 1500ms), 503);
