--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -408,6 +408,11 @@
       }
     }
     for (const auto& [sid, playing] : now) over(playing);
+    for (const auto& record : records_) {
+      if (record.kind() == Passed::LEAKED)
+        broke(9, record.at_us(), record.manager() + " held a seat past its time: " + record.state(),
+              {&record});
+    }
     for (auto& [team, all] : steps) {
       std::sort(all.begin(), all.end());
       int held = 0;
--- a/src/cli/day.cpp
+++ b/src/cli/day.cpp
@@ -23,6 +23,7 @@
 
 #include "audit/audit.h"
 #include "cli/commands.h"
+#include "entitlement/seatlog/seatlog.h"
 #include "runtime/runtime.h"
 #include "standins/issuer.h"
 
@@ -195,6 +196,7 @@
       std::this_thread::sleep_for(look_every);
     }
     if (*over != 0) throw Unplayable{"the viewers ended with " + std::to_string(*over) + ": see " + folder_};
+    const auto stopped = std::chrono::system_clock::now();
     for (auto& manager : managers_) manager.signal(SIGCONT), manager.signal(SIGTERM);
     for (std::size_t i = 0; i < managers_.size(); ++i) {
       const auto code = managers_[i].wait(stop_limit);
@@ -207,10 +209,39 @@
     if (!code || *code != 0)
       throw Unplayable{"the boxes ended with " + (code ? std::to_string(*code) : std::string("nothing")) +
                        ": see " + folder_};
+    if (day_.deployment.front.entitlement.on) look_for_leaks(stopped);
     trace_.flush();
   }
 
  private:
+  // What a manager's log still gave out long after its token's time when it was stopped, it had leaked.
+  void look_for_leaks(std::chrono::system_clock::time_point stopped) {
+    using What = entitlement::Record::What;
+    const auto now = std::chrono::duration_cast<Span>(stopped.time_since_epoch());
+    for (int i = 0; i < day_.managers; ++i) {
+      std::map<entitlement::SeatKey, entitlement::Record> given;
+      for (const auto& record : entitlement::SeatLog::look(folder_ + "/" + name(i))) {
+        if (record.what == What::given) given[record.key] = record;
+        if (record.what == What::freed) {
+          const auto held = given.find(record.key);
+          if (held != given.end() && held->second.holder == record.holder &&
+              held->second.number == record.number)
+            given.erase(held);
+        }
+      }
+      for (const auto& [key, record] : given) {
+        // A second for a stalled manager to catch up.
+        if (record.until + day_.deployment.front.entitlement.ledger.skew + 1s >= now) continue;
+        trace::Passed leaked;
+        leaked.set_at_us(runtime::Loop::machine_clock_us());
+        leaked.set_kind(trace::Passed::LEAKED);
+        leaked.set_manager(name(i));
+        leaked.set_state(key.team + " " + key.who);
+        trace_.put(leaked);
+      }
+    }
+  }
+
   struct Deed {
     Span at;
     enum class What { kill, start, stop, go_on } what;
@@ -356,6 +387,8 @@
               << " troubles; traces in " << folder << std::endl;
     Played(words, day, folder).run();
     return audited(day, {folder + "/viewers.trace", folder + "/boxes.trace", folder + "/day.trace"});
+  } catch (const entitlement::SeatLog::Unusable& failed) {
+    std::cerr << "violettide: " << failed.what << '\n';
   } catch (const Unplayable& failed) {
     std::cerr << "violettide: " << failed.what << '\n';
   } catch (const trace::Failed& failed) {
