Plant what rules 8 and 9 must find, and an unasked set-up, in the auditor's tests

Need: each of the auditor's guards has a test that fails without it.

Change: hand-made traces with too many playbacks on a team's seats, a bad token let in, a leaked seat, a playlist that goes back, a paid set-up that nobody asked for.

--- a/tests/program/audit_test.cpp
+++ b/tests/program/audit_test.cpp
@@ -387,6 +387,63 @@
   EXPECT_GT(played.broken(6), 0) << audit::table(played.verdict);
 }
 
+trace::Passed passed(trace::Passed::Kind kind, int at_s, const std::string& sid,
+                     const std::string& state = "", int status = 200) {
+  trace::Passed record;
+  record.set_at_us(static_cast<std::uint64_t>(at_s) * 1'000'000);
+  record.set_kind(kind);
+  record.set_manager("m");
+  record.set_trace(sid);
+  record.set_sid(sid);
+  record.set_plan("plain");
+  record.set_title("t");
+  record.set_rung(1);
+  record.set_status(status);
+  record.set_state(state);
+  return record;
+}
+int broken(const audit::Verdict& verdict, int rule) {
+  return static_cast<int>(
+      std::count_if(verdict.broken.begin(), verdict.broken.end(), [&](auto& b) { return b.rule == rule; }));
+}
+
+TEST(Planted, WhatAnHlsPlayerMustNotSeeIsRule8AndSeatsAreRule9) {
+  using trace::Passed;
+  auto day = day_of(
+      "day(length = s(4))\nboxes(count = 3)\nviewers(per_second = 1, least_watch = s(1), most_watch = "
+      "s(2))\n");
+  day.deployment.front.entitlement.on = true;
+  day.issuer.seats = 1;
+  std::vector<Passed> records{passed(Passed::STARTED, 0, "")};
+  const auto playback = [&](const std::string& sid, int from, int to, const std::string& team = "red") {
+    records.push_back(passed(Passed::ASKED, from, sid, team));
+    records.push_back(passed(Passed::ANSWERED, from, sid));
+    records.push_back(passed(Passed::OBJECT, to, sid));
+  };
+  playback("a", 1, 4);
+  playback("b", 5, 8);
+  playback("other team", 2, 6, "blue");
+  EXPECT_EQ(broken(audit::check(day, records), 9), 0);
+  auto crowded = records;
+  std::swap(crowded, records);
+  playback("c", 3, 6);
+  EXPECT_EQ(broken(audit::check(day, records), 9), 2) << "beside a, and beside b";
+  records = crowded;
+  playback("d", 10, 11, "red bad");
+  EXPECT_EQ(broken(audit::check(day, records), 9), 1) << "a bad token was let in";
+  records = crowded;
+  records.push_back(passed(Passed::LEAKED, 12, "", "red ann"));
+  EXPECT_EQ(broken(audit::check(day, records), 9), 1);
+  records = crowded;
+  records.push_back(passed(Passed::UNSTEADY, 12, "a", "the media sequence went back"));
+  EXPECT_EQ(broken(audit::check(day, records), 8), 1);
+  records = crowded;
+  records.push_back(passed(Passed::SET_UP, 12, "old address", "hls"));
+  EXPECT_EQ(broken(audit::check(day, records), 2), 0);
+  records.back().set_plan("paid");
+  EXPECT_EQ(broken(audit::check(day, records), 2), 1) << "set up for an address, unasked";
+}
+
 TEST(Trace, AFileCutOffIsReadAsFarAsItGoes) {
   const auto path =
       (std::filesystem::temp_directory_path() / ("violettide-trace-" + std::to_string(::getpid()))).string();
