--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -390,7 +390,6 @@
       if (playing.from == 0 || playing.to <= playing.from) return;
       steps[playing.team].emplace_back(playing.from, 1);
       steps[playing.team].emplace_back(playing.to, -1);
-      ++verdict_.seats;
     };
     for (const auto& record : records_) {
       if (record.kind() == Passed::ASKED) {
@@ -410,8 +409,7 @@
     for (const auto& [sid, playing] : now) over(playing);
     for (const auto& record : records_) {
       if (record.kind() == Passed::LEAKED)
-        broke(9, record.at_us(), record.manager() + " held a seat past its time: " + record.state(),
-              {&record});
+        broke(9, record.at_us(), record.manager() + " kept an odd seat: " + record.state(), {&record});
     }
     for (auto& [team, all] : steps) {
       std::sort(all.begin(), all.end());
--- a/src/audit/audit.h
+++ b/src/audit/audit.h
@@ -25,7 +25,7 @@
 struct Verdict {
   std::vector<Broken> broken;
   std::vector<PlanSums> plans;
-  std::size_t records = 0, set_ups = 0, asks = 0, seats = 0;
+  std::size_t records = 0, set_ups = 0, asks = 0;
   bool kept() const { return broken.empty(); }
 };
 
--- a/src/cli/day.cpp
+++ b/src/cli/day.cpp
@@ -216,27 +216,17 @@
  private:
   // What a manager's log still gave out long after its token's time when it was stopped, it had leaked.
   void look_for_leaks(std::chrono::system_clock::time_point stopped) {
-    using What = entitlement::Record::What;
-    const auto now = std::chrono::duration_cast<Span>(stopped.time_since_epoch());
+    // A second for a stalled manager to catch up.
+    const auto& skew = day_.deployment.front.entitlement.ledger.skew;
+    const auto at = std::chrono::duration_cast<Span>(stopped.time_since_epoch()) - skew - 1s;
     for (int i = 0; i < day_.managers; ++i) {
-      std::map<entitlement::SeatKey, entitlement::Record> given;
-      for (const auto& record : entitlement::SeatLog::look(folder_ + "/" + name(i))) {
-        if (record.what == What::given) given[record.key] = record;
-        if (record.what == What::freed) {
-          const auto held = given.find(record.key);
-          if (held != given.end() && held->second.holder == record.holder &&
-              held->second.number == record.number)
-            given.erase(held);
-        }
-      }
-      for (const auto& [key, record] : given) {
-        // A second for a stalled manager to catch up.
-        if (record.until + day_.deployment.front.entitlement.ledger.skew + 1s >= now) continue;
+      for (const auto& odd :
+           entitlement::odd_seats(entitlement::SeatLog::look(folder_ + "/" + name(i)), at)) {
         trace::Passed leaked;
         leaked.set_at_us(runtime::Loop::machine_clock_us());
         leaked.set_kind(trace::Passed::LEAKED);
         leaked.set_manager(name(i));
-        leaked.set_state(key.team + " " + key.who);
+        leaked.set_state(odd.record.key.team + " " + odd.record.key.who + ": " + odd.why);
         trace_.put(leaked);
       }
     }
--- a/src/cli/services.cpp
+++ b/src/cli/services.cpp
@@ -168,7 +168,8 @@
   if (!file.empty()) {
     std::ifstream lines(file);
     if (!std::getline(lines, terms.key)) {
-      std::cerr << "violettide: " << file << ": no key in it\n";
+      std::cerr << "violettide: " << file << ": " << (lines.is_open() ? "no key in it" : std::strerror(errno))
+                << '\n';
       return false;
     }
   }
@@ -236,6 +237,12 @@
     const auto& file = words.hls_secrets.empty() ? deployment.hls_secrets_from : words.hls_secrets;
     if (!take_secrets(file, front.hls.passes.secrets)) return 2;
   }
+  // Guards against an owner that forgets what it gave out, and numbers its claims as before.
+  if (front.entitlement.on && deployment.keep_in.empty()) {
+    std::cerr
+        << "violettide: seats take a folder that survives a restart: front(keep_in = ...), or --keep-in\n";
+    return 2;
+  }
   if (!take_peers(words, deployment.peers_key_from, front.name, front.peers)) return 2;
   if (words.keys_port) front.entitlement.keys_port = *words.keys_port;
   front.wall_at_zero = std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch());
@@ -247,9 +254,7 @@
     const auto who = front.name;
     const auto log = log_to(words.log, who);
     std::unique_ptr<entitlement::SeatLog> seats;
-    if (front.entitlement.on && deployment.keep_in.empty())
-      std::cerr << "violettide: no folder is kept in: seats are forgotten when this process ends\n";
-    if (front.entitlement.on && !deployment.keep_in.empty()) {
+    if (front.entitlement.on) {
       seats = std::make_unique<entitlement::SeatLog>(deployment.keep_in);
       // What no longer matters is left out of the log here, once for each start.
       auto terms = front.entitlement.ledger;
@@ -303,42 +308,23 @@
   try {
     const auto records = entitlement::SeatLog::look(words.folder);
     const auto now = std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch());
-    std::map<entitlement::SeatKey, entitlement::Record> book, own;
-    for (const auto& record : records) {
-      using What = entitlement::Record::What;
-      if (record.what == What::asked) own[record.key] = record;
-      if (record.what == What::gave_back) own.erase(record.key);
-      if (record.what == What::given) book[record.key] = record;
-      if (record.what == What::freed) {
-        const auto held = book.find(record.key);
-        if (held != book.end() && held->second.holder == record.holder &&
-            held->second.number == record.number)
-          book.erase(held);
-      }
-    }
-    std::size_t past = 0, twice = 0;
-    std::map<std::pair<entitlement::Peer, entitlement::ClaimNumber>, int> claims;  // one has one seat
-    for (const auto& [key, record] : book) {
-      const double left = std::chrono::duration<double>(record.until - now).count();
-      const bool again = ++claims[{record.holder, record.number}] > 1;
-      past += left < 0;
-      twice += again;
-      if (words.audit && left >= 0 && !again) continue;
-      std::printf("given  %-20s %-40s manager %u, %.0f s %s%s\n", key.team.c_str(), key.who.c_str(),
-                  record.holder, std::abs(left),
-                  left < 0 ? "past its time: freed at the next start, or claim of its team" : "left",
-                  again ? "; its claim has another seat too" : "");
-    }
-    for (const auto& [key, record] : own) {
-      if (!words.audit)
+    // Owners wait the clocks' skew before they free a seat; ten seconds are more than any hall needs.
+    const auto odd = entitlement::odd_seats(records, now - std::chrono::seconds(10));
+    const auto tell_seat = [&](const entitlement::Record& record, const std::string& why) {
+      std::printf("given  %-20s %-40s manager %u, until %.0f s from now%s\n", record.key.team.c_str(),
+                  record.key.who.c_str(), record.holder,
+                  std::chrono::duration<double>(record.until - now).count(), why.c_str());
+    };
+    const auto found = entitlement::replayed(records);
+    if (!words.audit) {
+      for (const auto& [key, record] : found.given) tell_seat(record, "");
+      for (const auto& [key, record] : found.asked)
         std::printf("asked  %-20s %-40s by this manager\n", key.team.c_str(), key.who.c_str());
     }
-    std::printf(
-        "%zu seats given, %zu of them past their time, %zu for a claim that has another; %zu asked for by "
-        "this "
-        "manager; %zu records\n",
-        book.size(), past, twice, own.size(), records.size());
-    if (words.audit && past + twice > 0) return 1;
+    for (const auto& [record, why] : odd) tell_seat(record, ": odd: " + why);
+    std::printf("%zu seats given, %zu odd; %zu asked for by this manager; %zu records\n", found.given.size(),
+                odd.size(), found.asked.size(), records.size());
+    if (words.audit && !odd.empty()) return 1;
     return 0;
   } catch (const entitlement::SeatLog::Unusable& unusable) {
     std::cerr << "violettide: " << unusable.what << '\n';
--- a/src/entitlement/gate/gate.cpp
+++ b/src/entitlement/gate/gate.cpp
@@ -25,10 +25,7 @@
 }
 
 Judged Gate::judge(Span now, const Shown& shown) {
-  const auto refuse = [&](TokenFault fault) -> Judged {
-    ++counts_.refused;
-    return Bad{fault};
-  };
+  const auto refuse = [&](TokenFault fault) -> Judged { return Bad{fault}; };
   if (shown.token.size() > most_token_bytes) return refuse(TokenFault::malformed);
   const std::string text(shown.token);
   if (const auto known = bad_.find(text); known != bad_.end()) {
@@ -36,7 +33,6 @@
     return refuse(known->second);
   }
   if (const auto known = good_.find(text); known != good_.end()) {
-    ++counts_.remembered;
     return judge_token(now, shown, known->second);
   }
   const auto head = read_unsigned(shown.token);
@@ -76,10 +72,7 @@
 
 // What depends on the time and on what is played.
 Judged Gate::judge_token(Span now, const Shown& shown, const Token& token) {
-  const auto refuse = [&](TokenFault fault) -> Judged {
-    ++counts_.refused;
-    return Bad{fault};
-  };
+  const auto refuse = [&](TokenFault fault) -> Judged { return Bad{fault}; };
   while (!forget_at_.empty() && forget_at_.begin()->first <= now) {
     const auto& [of_seat, name] = forget_at_.begin()->second;
     if (of_seat) {
@@ -122,7 +115,6 @@
   wanted_ = false;
   ever_ = true;
   fetched_at_ = now;
-  ++counts_.fetches;
   return true;
 }
 
@@ -130,7 +122,7 @@
   auto read = read_key_set(text);
   if (const auto* fault = std::get_if<std::string>(&read)) {
     left_out.push_back(*fault);
-    return keys_failed(now);
+    return keys_failed();
   }
   fetching_ = false;
   answered_at_ = now;
@@ -161,9 +153,8 @@
       ++it;
     }
   }
-  // A bad token may have been bad for want of a key only; those were never remembered.
 }
 
-void Gate::keys_failed(Span) { fetching_ = false; }
+void Gate::keys_failed() { fetching_ = false; }
 
 }  // namespace violettide::entitlement
--- a/src/entitlement/gate/gate.h
+++ b/src/entitlement/gate/gate.h
@@ -45,14 +45,14 @@
   // `now`: the machine's clock.
   Judged judge(Span now, const Shown& shown);
   void keys_came(Span now, std::string_view json, std::vector<std::string>& left_out);
-  void keys_failed(Span now);
+  void keys_failed();
   // Whether the keys are to be fetched now; then one of the two above is owed.
   bool wants_fetch(Span now);
   bool fetching() const { return fetching_; }
   std::size_t keys() const { return keys_.size(); }
 
   struct Counts {
-    std::size_t verified = 0, remembered = 0, refused = 0, refused_cheaply = 0, fetches = 0;
+    std::size_t verified = 0, refused_cheaply = 0;
   };
   const Counts& counts() const { return counts_; }
   std::size_t remembered() const { return good_.size() + bad_.size(); }
--- a/src/entitlement/ledger/ledger.cpp
+++ b/src/entitlement/ledger/ledger.cpp
@@ -3,16 +3,12 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace violettide::entitlement {
 
 namespace {
 
-template <typename... Visitors>
-struct Each : Visitors... {
-  using Visitors::operator()...;
-};
-
 class Print {
  public:
   Print& operator<<(const std::string& text) {
@@ -37,44 +33,66 @@
   return best;
 }
 
-Ledger::Ledger(LedgerTerms terms, std::uint32_t restart, Span now, const std::vector<Record>& kept)
-    : terms_(std::move(terms)), now_(now), next_number_(static_cast<ClaimNumber>(restart) << 32 | 1) {
-  for (const auto& record : kept) {
+Replayed replayed(const std::vector<Record>& records) {
+  Replayed made;
+  for (const auto& record : records) {
     switch (record.what) {
-      case Record::What::asked: {
-        Own own;
-        own.state = Own::State::restored;
-        own.number = record.number;
-        own.seats = record.seats;
-        own.issued = record.issued;
-        own.until = own.held_until = record.until;
-        own.asked_at = now;
-        own_[record.key] = own;
+      case Record::What::asked:
+        made.asked[record.key] = record;
         break;
-      }
       case Record::What::gave_back:
-        if (const auto found = own_.find(record.key); found != own_.end() &&
-                                                      found->second.number <= record.number &&
-                                                      !terms_.planted.keeps_after_restart)
-          own_.erase(found);
+        if (const auto found = made.asked.find(record.key);
+            found != made.asked.end() && found->second.number <= record.number)
+          made.asked.erase(found);
         break;
-      case Record::What::given: {
-        auto& team = team_of(record.key.team);
-        if (record.issued >= team.issued) team.seats = record.seats, team.issued = record.issued;
-        team.held[record.key.who] = {record.holder, record.number, record.until, 0, {}};
+      case Record::What::given:
+        made.given[record.key] = record;
         break;
-      }
-      case Record::What::freed: {
-        auto& team = team_of(record.key.team);
-        const auto seat = team.held.find(record.key.who);
-        if (seat != team.held.end() && seat->second.holder == record.holder &&
-            seat->second.number == record.number)
-          team.held.erase(seat);
-        if (record.until > now) team.over[{record.key.who, record.holder}] = {record.number, record.until};
+      case Record::What::freed:
+        if (const auto found = made.given.find(record.key); found != made.given.end() &&
+                                                            found->second.holder == record.holder &&
+                                                            found->second.number == record.number)
+          made.given.erase(found);
+        made.freed.push_back(record);
         break;
-      }
     }
   }
+  return made;
+}
+
+std::vector<OddSeat> odd_seats(const std::vector<Record>& records, Span now) {
+  std::vector<OddSeat> odd;
+  std::map<std::pair<Peer, ClaimNumber>, int> claims;
+  for (const auto& [key, record] : replayed(records).given) {
+    if (record.until < now) odd.push_back({record, "past its time"});
+    if (++claims[{record.holder, record.number}] > 1)
+      odd.push_back({record, "its claim has another seat too"});
+  }
+  return odd;
+}
+
+Ledger::Ledger(LedgerTerms terms, std::uint32_t restart, Span now, const std::vector<Record>& kept)
+    : terms_(std::move(terms)), now_(now), next_number_(static_cast<ClaimNumber>(restart) << 32 | 1) {
+  const auto found = replayed(kept);
+  for (const auto& [key, record] : found.asked) {
+    Own own;
+    own.state = Own::State::restored;
+    own.number = record.number;
+    own.seats = record.seats;
+    own.issued = record.issued;
+    own.until = own.held_until = record.until;
+    own.asked_at = now;
+    own_[key] = own;
+  }
+  for (const auto& [key, record] : found.given) {
+    auto& team = team_of(key.team);
+    if (record.issued >= team.issued) team.seats = record.seats, team.issued = record.issued;
+    team.held[key.who] = {record.holder, record.number, record.until, 0, {}};
+  }
+  for (const auto& record : found.freed) {
+    if (record.until > now)
+      team_of(record.key.team).over[{record.key.who, record.holder}] = {record.number, record.until};
+  }
 }
 
 std::vector<LedgerAct> Ledger::handle(Span now, const LedgerEvent& event) {
@@ -207,10 +225,8 @@
     if (held == team->second.held.end() || held->second.ticket != ticket) continue;
     auto& seat = held->second;
     seat.ticket = 0;
-    if (seat.taken_from) {
-      tell(seat.taken_from->first, SeatTaken{key, seat.taken_from->second});
-      seat.taken_from.reset();
-    }
+    for (const auto& [holder, number] : std::exchange(seat.taken_from, {}))
+      tell(holder, SeatTaken{key, number});
     if (!terms_.planted.answers_unkept) tell(seat.holder, SeatGiven{key, seat.number, seat.until});
   }
 }
@@ -311,6 +327,7 @@
     team.issued = ask.issued;
     team.seats = ask.seats;
   }
+  std::optional<std::pair<Peer, ClaimNumber>> went;  // the claim that it had until now
   const auto found = team.held.find(ask.key.who);
   if (found != team.held.end()) {
     auto& seat = found->second;
@@ -324,7 +341,8 @@
       // The same viewer at another manager: the same seat. What it had there is over, and a late copy of that
       // claim must not bring it back.
       team.over[{ask.key.who, seat.holder}] = {seat.number, std::max(seat.until, ask.until)};
-      seat.taken_from = std::pair(seat.holder, seat.number);
+      went.emplace(seat.holder, seat.number);
+      seat.taken_from.push_back(*went);
     }
     seat.holder = from;
     seat.number = ask.number;
@@ -337,9 +355,7 @@
   // On the disk before it is given: after a crash the book must not be shorter than what was given out.
   seat.ticket = keep({Record::What::given, ask.key, from, seat.number, team.seats, team.issued, seat.until});
   // Behind it, so that no crash between them frees what may still be played.
-  if (seat.taken_from)
-    keep({Record::What::freed, ask.key, seat.taken_from->first, seat.taken_from->second, 0, Span(0),
-          seat.until});
+  if (went) keep({Record::What::freed, ask.key, went->first, went->second, 0, Span(0), seat.until});
   if (terms_.planted.answers_unkept) tell(from, SeatGiven{ask.key, seat.number, seat.until});
 }
 
@@ -414,59 +430,15 @@
   }
 }
 
-std::optional<Span> Ledger::next() const {
-  std::optional<Span> at;
-  const auto sooner = [&](Span when) { at = at ? std::min(*at, when) : when; };
-  for (const auto& [key, own] : own_) {
-    switch (own.state) {
-      case Own::State::keeping:
-        sooner(own.asked_at + terms_.ask_limit);
-        break;
-      case Own::State::asking:
-        sooner(std::min(own.asked_at + terms_.ask_limit, own.sent_at + terms_.ask_again));
-        break;
-      case Own::State::held:
-        sooner(own.held_until);
-        if (own.renewing && own.ticket == 0) sooner(own.sent_at + terms_.ask_again);
-        break;
-      case Own::State::restored:
-        sooner(std::min(own.held_until, own.asked_at + terms_.resume));
-        break;
-      case Own::State::returning:
-        sooner(std::min(own.until + 2 * terms_.skew, own.sent_at + terms_.ask_again));
-        break;
-    }
-  }
-  for (const auto& [name, team] : teams_) {
-    for (const auto& [who, seat] : team.held) sooner(seat.until + terms_.skew);
-    for (const auto& [whose, over] : team.over) sooner(over.second + terms_.skew);
-  }
-  return at;
-}
-
 // ---- what is seen of it ----
 
 Ledger::Sums Ledger::sums() const {
   Sums sums;
   for (const auto& [key, own] : own_) ++(own.state == Own::State::held ? sums.held : sums.asked);
   for (const auto& [name, team] : teams_) sums.in_book += team.held.size();
-  sums.teams = teams_.size();
   return sums;
 }
 
-std::vector<Ledger::BookLine> Ledger::book() const {
-  std::vector<BookLine> lines;
-  for (const auto& [name, team] : teams_) {
-    for (const auto& [who, seat] : team.held) lines.push_back({name, who, seat.holder, seat.until});
-  }
-  return lines;
-}
-
-int Ledger::seats_of(std::string_view team) const {
-  const auto found = teams_.find(std::string(team));
-  return found == teams_.end() ? 0 : found->second.seats;
-}
-
 std::vector<Record> Ledger::snapshot() const {
   std::vector<Record> records;
   for (const auto& [key, own] : own_)
--- a/src/entitlement/ledger/ledger.h
+++ b/src/entitlement/ledger/ledger.h
@@ -93,6 +93,20 @@
   Span issued{0}, until{0};
 };
 
+// What records in the order kept come to.
+struct Replayed {
+  std::map<SeatKey, Record> asked;  // by the manager whose log it is: perhaps held
+  std::map<SeatKey, Record> given;  // by it as owner, and not freed since
+  std::vector<Record> freed;        // by it as owner
+};
+Replayed replayed(const std::vector<Record>& records);
+// Seats of a log that are odd at that time: given out past their time, or to a claim that has another.
+struct OddSeat {
+  Record record;
+  std::string why;
+};
+std::vector<OddSeat> odd_seats(const std::vector<Record>& records, Span now);
+
 // ---- what happened ----
 struct Claimed {  // a playback with a good token is to be admitted, or its token was renewed
   SeatKey key;
@@ -143,22 +157,13 @@
   Ledger(LedgerTerms terms, std::uint32_t restart, Span now = Span(0), const std::vector<Record>& kept = {});
   // `now`: the machine's clock, which may differ from others' by the skew.
   std::vector<LedgerAct> handle(Span now, const LedgerEvent& event);
-  std::optional<Span> next() const;  // when Ticked is wanted
 
   struct Sums {
     std::size_t held = 0;     // by playbacks of this manager
     std::size_t asked = 0;    // for seats, or to give them back
     std::size_t in_book = 0;  // seats of teams that this manager owns
-    std::size_t teams = 0;
   };
   Sums sums() const;
-  struct BookLine {
-    std::string team, who;
-    Peer holder = 0;
-    Span until{0};
-  };
-  std::vector<BookLine> book() const;  // of the teams that this manager owns
-  int seats_of(std::string_view team) const;
   // What a new log would begin with: as much as the present state needs.
   std::vector<Record> snapshot() const;
   std::string fingerprint() const;  // equal where the state is, for searches
@@ -178,7 +183,7 @@
     ClaimNumber number = 0;
     Span until{0};
     std::uint64_t ticket = 0;  // of the record that must be kept before it is answered; 0: it is
-    std::optional<std::pair<Peer, ClaimNumber>> taken_from;  // to be told once that is kept
+    std::vector<std::pair<Peer, ClaimNumber>> taken_from;  // to be told once that is kept
   };
   struct Team {
     int seats = 0;
--- a/src/hls/continuity/continuity.cpp
+++ b/src/hls/continuity/continuity.cpp
@@ -153,7 +153,8 @@
   const auto number = beside->window_.media_sequence + beside->window_.size() - 1;
   for (std::size_t i = 0; i < media.segments.size() && last.wall != no_wall; ++i) {
     const auto& segment = media.segments[i];
-    if (segment.wall != no_wall && near(segment.wall, last.wall, last.duration) && number >= i) return number - i;
+    if (segment.wall != no_wall && near(segment.wall, last.wall, last.duration) && number >= i)
+      return number - i;
   }
   return media.media_sequence;
 }
--- a/src/hls/tags.cpp
+++ b/src/hls/tags.cpp
@@ -15,6 +15,11 @@
   using enum Takes;
   using enum Stands;
   constexpr bool required = true;
+  const std::vector<AttributeRule> of_keys{{"METHOD", Kind::word, required},
+                                           {"URI", quoted},
+                                           {"IV", hexadecimal},
+                                           {"KEYFORMAT", quoted},
+                                           {"KEYFORMATVERSIONS", quoted}};
   std::vector<TagRule> rules{
       {Tag::m3u, "M3U", nothing, anywhere, true, {}},
       {Tag::version, "-X-VERSION", Takes::whole, anywhere, true, {}},
@@ -34,16 +39,7 @@
       {Tag::inf, "INF", duration, at_segment, false, {}},
       {Tag::byte_range, "-X-BYTERANGE", byte_range, at_segment, false, {}},
       {Tag::discontinuity, "-X-DISCONTINUITY", nothing, at_segment, false, {}},
-      {Tag::key,
-       "-X-KEY",
-       attributes,
-       at_segment,
-       false,
-       {{"METHOD", Kind::word, required},
-        {"URI", quoted},
-        {"IV", hexadecimal},
-        {"KEYFORMAT", quoted},
-        {"KEYFORMATVERSIONS", quoted}}},
+      {Tag::key, "-X-KEY", attributes, at_segment, false, of_keys},
       {Tag::map, "-X-MAP", attributes, at_segment, false, {{"URI", quoted, required}, {"BYTERANGE", quoted}}},
       {Tag::program_date_time, "-X-PROGRAM-DATE-TIME", date, at_segment, false, {}},
       {Tag::gap, "-X-GAP", nothing, at_segment, false, {}},
@@ -180,16 +176,7 @@
         {"URI", quoted},
         {"FORMAT", Kind::word},
         {"LANGUAGE", quoted}}},
-      {Tag::session_key,
-       "-X-SESSION-KEY",
-       attributes,
-       in_multivariant,
-       false,
-       {{"METHOD", Kind::word, required},
-        {"URI", quoted},
-        {"IV", hexadecimal},
-        {"KEYFORMAT", quoted},
-        {"KEYFORMATVERSIONS", quoted}}},
+      {Tag::session_key, "-X-SESSION-KEY", attributes, in_multivariant, false, of_keys},
       {Tag::content_steering,
        "-X-CONTENT-STEERING",
        attributes,
@@ -383,16 +370,4 @@
   return std::nullopt;
 }
 
-std::string write_attributes(const std::vector<Attribute>& all) {
-  std::string text;
-  for (const auto& attribute : all) {
-    if (!text.empty()) text += ',';
-    text.append(attribute.name) += '=';
-    if (attribute.quoted) text += '"';
-    text.append(attribute.value);
-    if (attribute.quoted) text += '"';
-  }
-  return text;
-}
-
 }  // namespace violettide::hls
--- a/src/hls/tags.h
+++ b/src/hls/tags.h
@@ -86,7 +86,6 @@
 std::optional<std::string> read_attributes(std::string_view text, Attributes& into);
 // Types and presence by the tag's rule; the cause of the first fault.
 std::optional<std::string> check_attributes(const TagRule& rule, const Attributes& attributes);
-std::string write_attributes(const std::vector<Attribute>& all);
 
 std::optional<std::uint64_t> read_whole(std::string_view text);
 std::optional<double> read_number(std::string_view text);
--- a/src/manager/hls_door.cpp
+++ b/src/manager/hls_door.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view steering_name = "steering.json";
 constexpr std::size_t worth_packing = 1024;
 constexpr double kbit_per_kb = 8;
+constexpr int stands_for = 3;     // target durations without news, to be told
 constexpr int steering_asks = 3;  // times within a silence
 
 std::string_view file_of(std::string_view target) {
@@ -134,7 +135,6 @@
   const auto tail = path.substr(slash + 1);
   viewer.path = {pass.plan, pass.title, pass.rung, std::string(tail)};
   viewer.hints.hints.session_id = pass.sid;
-  viewer.delta = viewer.blocks = false;
   if (pass.names == passes::Pass::Names::steering) {
     viewer.wants = ViewerLink::Wants::steering;
     if (const auto told = argument(query, "_HLS_throughput")) {
@@ -297,7 +297,7 @@
           rung != viewer.pass.rung && found != playback.hls->lists.end()) {
         viewer.fill_rung = rung;
         link.target = found->second;
-        return more(found->second, query_for_box(""));
+        return found->second;
       }
     }
     link.target = viewer.pass.place;
@@ -701,6 +701,10 @@
     auto& course = courses[viewer.pass.place];
     const auto went = course.take(now_, {media, server, rung}, other);
     window = &course.window();
+    if (went.step == hls::Course::Step::stood && went.stood_for > stands_for * media->target)
+      say("playlist_stands", {{"playback", said_id(playback.id)},
+                              {"box", list_.box(server).name},
+                              {"ms", went.stood_for.count() / 1000}});
     if (went.step == hls::Course::Step::skipped || went.step == hls::Course::Step::began_anew)
       say("playlist_broke", {{"playback", said_id(playback.id)},
                              {"box", list_.box(server).name},
--- a/src/manager/inside.h
+++ b/src/manager/inside.h
@@ -61,7 +61,7 @@
     std::map<std::string, hls::Continuity> courses;  // by the place of the media playlist
   };
   hls::Showing showing;
-  std::string token;  // shown last: a box lost needs no new one
+  std::string token;                 // shown last: a box lost needs no new one
   std::map<int, std::string> lists;  // by rung: where its media playlist is at a box
   std::map<int, bool> flat;
   hls::Variables variables;
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -262,6 +262,7 @@
   if (viewer.request.method != "GET")
     return answer(viewer, 405, "media objects are read with GET\n", {{"Allow", "GET"}});
   viewer.wants = ViewerLink::Wants::object;
+  viewer.delta = viewer.blocks = false;
   viewer.hints = hints::read_cmcd(viewer.request.fields, viewer.request.target);
   viewer.token = ledger_ ? token_of(viewer.request) : "";
   // Whose player says no session is known by its token: a retry must find its seat.
--- a/src/manager/seats_door.cpp
+++ b/src/manager/seats_door.cpp
@@ -168,13 +168,14 @@
 }
 
 void Manager::peers_said(std::vector<peers::Heard> heard) {
+  for (const auto& remark : peers_->take_remarks()) say("peer_refused", {{"cause", remark}});
   for (const auto& one : heard) {
     if (one.kind != seat_words || !ledger_) continue;
     const auto message = entitlement::read_message(one.payload);
     if (message)
       seats_did(entitlement::Heard{one.from, *message});
     else
-      say("peer_malformed", {{"peer", terms_.peers.all[one.from].name}});
+      say("peer_refused", {{"cause", "no word of seats from " + terms_.peers.all[one.from].name}});
   }
 }
 
@@ -189,7 +190,10 @@
 
 void Manager::seats_time() {
   arm(terms_.entitlement.every, Ring::seats, 0);
-  if (peers_) peers_->time_passed(now_, *acts_);
+  if (peers_) {
+    peers_->time_passed(now_, *acts_);
+    peers_said({});  // what it remarked meanwhile
+  }
   if (!ledger_) return;
   fetch_keys();
   seats_did(entitlement::Ticked{});
@@ -210,7 +214,7 @@
     gate_.keys_came(wall(), body, left_out);
     for (const auto& what : left_out) say("key_left_out", {{"cause", what}});
   } else {
-    gate_.keys_failed(wall());
+    gate_.keys_failed();
     say("keys_failed", {{"status", std::int64_t{status}}});
   }
   // Those who waited for this answer are judged by what is known now.
--- a/src/passes/passes.cpp
+++ b/src/passes/passes.cpp
@@ -1,11 +1,9 @@
 #include "passes/passes.h"
 
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
-
 #include <algorithm>
 
+#include "signing/signing.h"
+
 namespace violettide::passes {
 
 namespace {
@@ -16,14 +14,6 @@
 constexpr int names_bits = 3, steady_bit = 4, flat_bit = 8;
 constexpr std::size_t most_keys = 64;  // derived, kept
 
-std::string hmac(std::string_view key, std::string_view bytes) {
-  unsigned char out[EVP_MAX_MD_SIZE];
-  unsigned int size = 0;
-  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-       reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(), out, &size);
-  return {reinterpret_cast<const char*>(out), size};
-}
-
 class Put {
  public:
   void byte(int value) { text += static_cast<char>(value); }
@@ -71,42 +61,8 @@
   std::size_t at_ = 0;
 };
 
-constexpr std::string_view letters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
-
 }  // namespace
 
-std::string base64url(std::string_view bytes) {
-  std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-  const int size =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                      reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
-  text.resize(static_cast<std::size_t>(size));
-  while (!text.empty() && text.back() == '=') text.pop_back();
-  std::replace(text.begin(), text.end(), '+', '-');
-  std::replace(text.begin(), text.end(), '/', '_');
-  return text;
-}
-
-std::optional<std::string> from_base64url(std::string_view text) {
-  if (text.size() % 4 == 1 || !std::all_of(text.begin(), text.end(),
-                                           [](char c) { return letters.find(c) != std::string_view::npos; }))
-    return std::nullopt;
-  std::string padded(text);
-  std::replace(padded.begin(), padded.end(), '-', '+');
-  std::replace(padded.begin(), padded.end(), '_', '/');
-  const auto padding = (4 - padded.size() % 4) % 4;
-  padded.append(padding, '=');
-  std::string bytes(padded.size() / 4 * 3, '\0');
-  if (EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
-                      reinterpret_cast<const unsigned char*>(padded.data()),
-                      static_cast<int>(padded.size())) < 0)
-    return std::nullopt;
-  bytes.resize(bytes.size() - padding);
-  // Guards against two texts for the same bytes: one pass has one name.
-  if (base64url(bytes) != text) return std::nullopt;
-  return bytes;
-}
-
 KeyRing::KeyRing(PassTerms terms) : terms_(std::move(terms)) {}
 
 const KeyRing::Key& KeyRing::key(std::size_t secret, std::uint32_t period) {
@@ -117,11 +73,11 @@
   Put info;
   info.part("violettide pass");
   info.four(period);
-  return derived_.emplace(at, hmac(terms_.secrets[secret], info.text)).first->second;
+  return derived_.emplace(at, signing::hmac(terms_.secrets[secret], info.text)).first->second;
 }
 
 std::string KeyRing::signature(std::size_t secret, std::uint32_t period, std::string_view bytes) {
-  return hmac(key(secret, period), bytes).substr(0, signature_bytes);
+  return signing::hmac(key(secret, period), bytes).substr(0, signature_bytes);
 }
 
 std::string KeyRing::write(Span wall, Pass pass) {
@@ -138,12 +94,12 @@
   put.byte(static_cast<int>(pass.names) | (pass.steady ? steady_bit : 0) | (pass.flat ? flat_bit : 0));
   for (const auto* part : {&pass.title, &pass.sid, &pass.box, &pass.place}) put.part(*part);
   put.text += signature(0, period, put.text);
-  return base64url(put.text);
+  return signing::base64url(put.text);
 }
 
 std::variant<Pass, Refused> KeyRing::read(Span wall, std::string_view token) {
   if (token.empty() || token.size() > most_token) return Refused{};
-  const auto bytes = from_base64url(token);
+  const auto bytes = signing::from_base64url(token);
   if (!bytes || bytes->size() <= signature_bytes) return Refused{};
   const auto signed_part = std::string_view(*bytes).substr(0, bytes->size() - signature_bytes);
   const auto told = std::string_view(*bytes).substr(signed_part.size());
@@ -164,7 +120,7 @@
   bool known = false;
   for (std::size_t secret = 0; secret < terms_.secrets.size(); ++secret) {
     const auto own = signature(secret, period, signed_part);
-    known = CRYPTO_memcmp(own.data(), told.data(), signature_bytes) == 0 || known;
+    known = signing::same(own, told) || known;
   }
   if (!known) return Refused{Refusal::forged, std::nullopt};
   // One from the future was signed by a clock that is further off than is allowed.
--- a/src/passes/passes.h
+++ b/src/passes/passes.h
@@ -71,7 +71,4 @@
   std::map<std::pair<std::size_t, std::uint32_t>, Key> derived_;
 };
 
-std::string base64url(std::string_view bytes);
-std::optional<std::string> from_base64url(std::string_view text);
-
 }  // namespace violettide::passes
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -1,12 +1,10 @@
 #include "peers/peers.h"
 
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
-
 #include <algorithm>
+#include <utility>
 
 #include "peers.pb.h"
+#include "signing/signing.h"
 
 namespace violettide::peers {
 
@@ -15,14 +13,6 @@
 constexpr std::uint32_t version = 1;
 constexpr std::size_t challenge_bytes = 32, mac_bytes = 16, length_bytes = 4;
 
-std::string hmac(std::string_view key, std::string_view bytes) {
-  unsigned char out[EVP_MAX_MD_SIZE];
-  unsigned int size = 0;
-  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-       reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(), out, &size);
-  return {reinterpret_cast<const char*>(out), size};
-}
-
 std::string framed(const std::string& bytes) {
   std::string made;
   for (int shift = 24; shift >= 0; shift -= 8) made += static_cast<char>(bytes.size() >> shift & 0xff);
@@ -44,7 +34,7 @@
 }  // namespace
 
 std::string Peers::mac(std::string_view challenge, std::string_view body) const {
-  return hmac(terms_.key, std::string(challenge).append(body)).substr(0, mac_bytes);
+  return signing::hmac(terms_.key, std::string(challenge).append(body)).substr(0, mac_bytes);
 }
 
 void Peers::send(Span now, PeerIndex to, std::uint32_t kind, std::string payload, std::vector<Act>& acts) {
@@ -52,7 +42,8 @@
   auto& out = out_[to];
   if (out.waiting.size() >= terms_.most_waiting) {
     out.waiting.pop_front();  // the oldest: what matters still is sent again
-    ++counts_.dropped;
+    if (!std::exchange(out.told_full, true))
+      remarks_.push_back("messages to " + terms_.all[to].name + " are dropped: too many wait");
   }
   out.waiting.emplace_back(kind, std::move(payload));
   if (out.link == 0 && now >= out.dial_at) dial(now, to, acts);
@@ -88,24 +79,21 @@
     frame.set_body(body.SerializeAsString());
     frame.set_mac(mac(out.challenge, frame.body()));
     acts.push_back(Send{out.link, framed(frame.SerializeAsString())});
-    ++counts_.sent;
   }
 }
 
 void Peers::accepted(Span now, Link link, std::vector<Act>& acts) {
   auto& in = came_[link];
   // Never the same twice, nor to be told before: by the key, the time and a count.
-  in.challenge = hmac(terms_.key, "challenge " + terms_.all[terms_.own].name + std::to_string(now.count()) +
-                                      "." + std::to_string(link) + "." + std::to_string(++challenges_))
-                     .substr(0, challenge_bytes);
+  in.challenge =
+      signing::hmac(terms_.key, "challenge " + terms_.all[terms_.own].name + std::to_string(now.count()) +
+                                    "." + std::to_string(link) + "." + std::to_string(++challenges_))
+          .substr(0, challenge_bytes);
   acts.push_back(Send{link, framed(in.challenge)});
 }
 
-void Peers::connected(Link) {}
-
 void Peers::refuse(Link link, const std::string& cause, std::vector<Act>& acts) {
-  ++counts_.refused;
-  last_refusal_ = cause;
+  remarks_.push_back(cause);
   acts.push_back(Hang{link, false});
   came_.erase(link);
 }
@@ -121,11 +109,11 @@
       out.challenge = *frame;
       out.challenged = true;
       out.pause = Span(0);
+      out.told_full = false;
       flush(dialed->second, acts);
     } else if (too_long || out.challenged || frame) {
       // Nothing else is said on this side: who says it is no manager.
-      ++counts_.refused;
-      last_refusal_ = "no challenge from " + terms_.all[dialed->second].name;
+      remarks_.push_back("no challenge from " + terms_.all[dialed->second].name);
       acts.push_back(Hang{link, false});
       out.link = 0;
       dialed_.erase(dialed);
@@ -139,16 +127,18 @@
   while (const auto bytes_of = next_frame(in.got, terms_.most_frame, too_long)) {
     wire::Frame frame;
     wire::Body body;
+    const auto whom = in.from ? " from " + terms_.all[*in.from].name : std::string();
     if (!frame.ParseFromString(*bytes_of) || frame.mac().size() != mac_bytes)
-      return refuse(link, "no frame", acts), heard;
+      return refuse(link, "no frame" + whom, acts), heard;
     const auto own = mac(in.challenge, frame.body());
-    if (CRYPTO_memcmp(own.data(), frame.mac().data(), mac_bytes) != 0)
-      return refuse(link, "a frame that is not signed with the hall's key", acts), heard;
-    if (!body.ParseFromString(frame.body())) return refuse(link, "no body", acts), heard;
+    if (!signing::same(own, frame.mac()))
+      return refuse(link, "a frame that is not signed with the hall's key" + whom, acts), heard;
+    if (!body.ParseFromString(frame.body())) return refuse(link, "no body" + whom, acts), heard;
     if (body.version() != version)
-      return refuse(link, "version " + std::to_string(body.version()) + " is not spoken here", acts), heard;
+      return refuse(link, "version " + std::to_string(body.version()) + " is not spoken here" + whom, acts),
+             heard;
     if (body.count() != in.count + 1 || body.to() != terms_.all[terms_.own].name)
-      return refuse(link, "a frame of another connection, or one is missing", acts), heard;
+      return refuse(link, "a frame of another connection, or one is missing" + whom, acts), heard;
     in.count = body.count();
     if (!in.from) {
       for (PeerIndex peer = 0; peer < terms_.all.size(); ++peer) {
@@ -158,7 +148,6 @@
     } else if (terms_.all[*in.from].name != body.from()) {
       return refuse(link, "two names on one connection", acts), heard;
     }
-    ++counts_.heard;
     heard.push_back({*in.from, body.kind(), std::move(*body.mutable_payload())});
   }
   if (too_long) refuse(link, "a frame of more than " + std::to_string(terms_.most_frame) + " bytes", acts);
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "seams/seams.h"
@@ -44,15 +45,11 @@
   void accepted(Span now, Link link, std::vector<Act>& acts);
   bool knows(Link link) const { return dialed_.contains(link) || came_.contains(link); }
   std::vector<Heard> received(Link link, std::string_view bytes, std::vector<Act>& acts);
-  void connected(Link link);
   void ended(Span now, Link link);
   void time_passed(Span now, std::vector<Act>& acts);  // dials what is due
 
-  struct Counts {
-    std::size_t sent = 0, heard = 0, dropped = 0, refused = 0;
-  };
-  const Counts& counts() const { return counts_; }
-  std::string last_refusal() const { return last_refusal_; }
+  // What was refused or dropped since the last call, and why.
+  std::vector<std::string> take_remarks() { return std::exchange(remarks_, {}); }
 
  private:
   struct Out {  // to one peer
@@ -62,6 +59,7 @@
     std::uint64_t count = 0;
     std::deque<std::pair<std::uint32_t, std::string>> waiting;
     Span dial_at{0}, pause{0};
+    bool told_full = false;
   };
   struct In {
     std::string challenge, got;
@@ -79,8 +77,7 @@
   std::map<Link, PeerIndex> dialed_;
   std::map<Link, In> came_;
   std::uint64_t challenges_ = 0;
-  Counts counts_;
-  std::string last_refusal_;
+  std::vector<std::string> remarks_;
 };
 
 }  // namespace violettide::peers
--- a/src/settings/deployment.cpp
+++ b/src/settings/deployment.cpp
@@ -309,6 +309,8 @@
   if (!fleet) wrong(whole_file, "the settings lack 'fleet'");
   if (!objects) wrong(whole_file, "the settings lack 'objects'");
   if (front.plans.empty()) wrong(whole_file, "the settings lack a 'plan'");
+  // An address names its plan in one byte.
+  if (made.hls && front.plans.size() > 256) wrong(whole_file, "more than 256 plans with 'hls'");
   if (front.halls.empty()) wrong(whole_file, "the settings lack a 'hall'");
   if (site.kind_streams.empty()) wrong(whole_file, "the settings lack a 'kind' of box");
   const int last = static_cast<int>(site.rung_kb.size()) - 1;
--- a/src/settings/deployment.h
+++ b/src/settings/deployment.h
@@ -14,8 +14,8 @@
   std::uint16_t control_port = 0;
   bool hls = false;              // the second front is wanted
   std::string hls_secrets_from;  // a file, a secret a line; empty: those of the settings, or one of chance
-  std::string peers_key_from;  // a file with the hall's key
-  std::string keep_in;  // folder of what survives a restart; empty: nowhere
+  std::string peers_key_from;    // a file with the hall's key
+  std::string keep_in;           // folder of what survives a restart; empty: nowhere
   // Terms that the rules are checked by; the module needs no more of them than it is given in `front`.
   Span drain_grace{2'000'000};
   Span fall{3'000'000};
--- a/src/standins/hls_player.cpp
+++ b/src/standins/hls_player.cpp
@@ -181,7 +181,7 @@
   if (suggested_bits > 0) suggested_ = suggested_bits;
 }
 
-void HlsPlayer::refused(double, const Ask& ask) {
+void HlsPlayer::refused(const Ask& ask) {
   if (ask.kind == Ask::Kind::lists) return;
   // Down a variant; at the lowest, on to the next segment.
   if (at_variant_ > 0 && ask.kind != Ask::Kind::audio) {
--- a/src/standins/hls_player.h
+++ b/src/standins/hls_player.h
@@ -30,7 +30,7 @@
   // The whole answer, 200. True: it was a segment that counts as played on.
   bool took(double at, const Ask& ask, const std::string& body);
   // 404 for a segment: its rendition is not listed any more, or the box lacks it.
-  void refused(double at, const Ask& ask);
+  void refused(const Ask& ask);
   // The connection broke: what is asked next may be answered by another process.
   void broke() {
     parted_ = true;
--- a/src/standins/viewers.cpp
+++ b/src/standins/viewers.cpp
@@ -458,7 +458,7 @@
   const auto pause = viewer.retry_after > 0 ? span_of(viewer.retry_after * (1 + 0.5 * draw()))
                                             : span_of(seconds(day_.viewers.rejoin) * 0.25);
   if (viewer.status == 404 || viewer.status == 503) {
-    if (viewer.status == 404) viewer.hls->refused(seconds(now_), viewer.hls_ask);
+    if (viewer.status == 404) viewer.hls->refused(viewer.hls_ask);
     viewer.goes_on = true;
     rest(viewer, pause, acts);
     return true;
--- a/tests/program/gate_test.cpp
+++ b/tests/program/gate_test.cpp
@@ -4,7 +4,7 @@
 
 #include <gtest/gtest.h>
 
-#include "passes/passes.h"
+#include "signing/signing.h"
 #include "standins/issuer.h"
 
 namespace violettide::entitlement {
@@ -61,7 +61,7 @@
 TEST_F(Gated, EveryBadTokenIsRefusedWithItsCause) {
   const auto good = issuer.token(says());
   const auto parts = [&](const std::string& header, const std::string& claims, const std::string& signature) {
-    return passes::base64url(header) + "." + passes::base64url(claims) + "." + signature;
+    return signing::base64url(header) + "." + signing::base64url(claims) + "." + signature;
   };
   const auto signature = good.substr(good.rfind('.') + 1);
   EXPECT_EQ(fault(""), "malformed");
@@ -83,9 +83,9 @@
   EXPECT_EQ(fault(issuer.forged(says())), "its signature does not fit");
   auto other = says();
   other.seats = 100;
-  EXPECT_EQ(
-      fault(good.substr(0, good.find('.')) + "." + passes::base64url(issuer.claims(other)) + "." + signature),
-      "its signature does not fit");
+  EXPECT_EQ(fault(good.substr(0, good.find('.')) + "." + signing::base64url(issuer.claims(other)) + "." +
+                  signature),
+            "its signature does not fit");
   for (std::size_t i = good.find('.') + 2; i < good.size(); i += 7) {
     auto changed = good;
     changed[i] = changed[i] == 'A' ? 'B' : 'A';
@@ -171,16 +171,17 @@
   for (int i = 0; i < 10; ++i) {
     now += terms.fetch_every;
     EXPECT_TRUE(gate->wants_fetch(now));
-    gate->keys_failed(now);
+    gate->keys_failed();
   }
-  auto fresh = says("fresh");
-  Issuer same = third;
-  EXPECT_EQ(fault(third.token(fresh)), "of another issuer");
+  EXPECT_EQ(fault(third.token(says("fresh"))), "of another issuer") << "its key is known still";
   now += terms.keys_kept;
   EXPECT_EQ(fault(third.token(says("x"))), "waits") << "keys that old are not trusted";
   // Nonsense for a set changes nothing.
   for (const auto* nonsense :
        {"", "[]", "{\"keys\":1}", "{\"keys\":[]}", "{\"keys\":[{\"kty\":\"oct\",\"kid\":\"x\"}]}",
+        "{\"keys\":[{\"kty\":\"RSA\",\"kid\":\"x\",\"n\":\"AQAB\",\"e\":\"AQAB\"}]}",
+        "{\"keys\":[{\"kty\":\"EC\",\"crv\":\"P-256\",\"x\":\"AA\",\"y\":\"AA\"}]}",
+        "{\"keys\":[{\"kid\":\"x\",\"use\":\"enc\"}]}",
         "{\"keys\":[{\"kty\":\"EC\",\"crv\":\"P-256\",\"kid\":\"x\",\"x\":\"AA\",\"y\":\"AA\"}]}"}) {
     left_out.clear();
     const auto had = gate->keys();
--- a/tests/program/hls_decisions_test.cpp
+++ b/tests/program/hls_decisions_test.cpp
@@ -8,6 +8,7 @@
 #include "hls/continuity/continuity.h"
 #include "hls/showing/showing.h"
 #include "passes/passes.h"
+#include "signing/signing.h"
 
 namespace violettide::hls {
 namespace {
@@ -441,11 +442,11 @@
   for (std::size_t size = 0; size < 70; ++size) {
     std::string bytes(size, '\0');
     for (auto& byte : bytes) byte = static_cast<char>(chance());
-    EXPECT_EQ(from_base64url(base64url(bytes)), bytes);
+    EXPECT_EQ(signing::from_base64url(signing::base64url(bytes)), bytes);
   }
-  EXPECT_FALSE(from_base64url("AB").has_value()) << "bits behind the last byte that are not zero";
-  EXPECT_FALSE(from_base64url("A").has_value());
-  EXPECT_FALSE(from_base64url("a+b/").has_value());
+  EXPECT_FALSE(signing::from_base64url("AB").has_value()) << "bits behind the last byte that are not zero";
+  EXPECT_FALSE(signing::from_base64url("A").has_value());
+  EXPECT_FALSE(signing::from_base64url("a+b/").has_value());
 }
 
 TEST(Gzip, TakesBackWhatItPackedWithinItsLimit) {
--- a/tests/program/hls_front_test.cpp
+++ b/tests/program/hls_front_test.cpp
@@ -4,6 +4,7 @@
 #include "gzip/gzip.h"
 #include "manager/manager.h"
 #include "net.h"
+#include "scripted.h"
 
 namespace violettide::manager {
 namespace {
@@ -11,18 +12,7 @@
 using namespace std::chrono_literals;
 using testing::Net;
 using testing::Puppet;
-
-class Script : public Decider {
- public:
-  std::vector<Event>* told;
-  std::function<std::vector<Order>(const Event&)> decide_so;
-  Script(std::vector<Event>* told, std::function<std::vector<Order>(const Event&)> decide)
-      : told(told), decide_so(std::move(decide)) {}
-  std::vector<Order> decide(Span, const Event& event) override {
-    told->push_back(event);
-    return decide_so(event);
-  }
-};
+using testing::Script;
 
 class Front : public ::testing::Test {
  protected:
@@ -65,7 +55,7 @@
   }
   std::unique_ptr<Manager> make() {
     return std::make_unique<Manager>(terms, 1, "",
-                                     std::make_unique<Script>(&told, [this](const Event& event) {
+                                     std::make_unique<Script>(&told, [this](Span, const Event& event) {
                                        return decide ? decide(event) : place(event);
                                      }));
   }
@@ -190,11 +180,7 @@
   }
   template <typename Kind>
   std::vector<Kind> told_of() const {
-    std::vector<Kind> all;
-    for (const auto& event : told) {
-      if (const auto* kind = std::get_if<Kind>(&event)) all.push_back(*kind);
-    }
-    return all;
+    return testing::of_kind<Kind>(told);
   }
   bool said(const std::string& event) const {
     return std::any_of(net.said.begin(), net.said.end(), [&](auto& s) { return s.second.event == event; });
@@ -213,10 +199,7 @@
   ServerId first_box = 0;
   int rung = 1;
   Link next_link = 1;
-  std::string boxes_json =
-      R"({"revision":1,"clock_ms":100000,"boxes":[)"
-      R"({"name":"b0","address":"127.0.0.1","port":1001,"state":"ready","kind":0,"cell":0,"hall":"h","weight":1},)"
-      R"({"name":"b1","address":"127.0.0.1","port":2001,"state":"ready","kind":0,"cell":1,"hall":"h","weight":1}]})";
+  std::string boxes_json = testing::two_boxes;
 };
 
 constexpr const char* sid = "CMCD-Session: sid=\"s1\"\r\n";
@@ -484,12 +467,13 @@
   net.run(net.now() + 100ms);
   told.clear();
   asked[0].clear();
+  heads[0].clear();
   EXPECT_EQ(get(plain).status, 200);
   EXPECT_EQ(get(beside(paid, "s12.m4s")).body, "r1/12");
   EXPECT_EQ(told_of<CarriedOver>().size(), 2u);
   EXPECT_TRUE(told_of<Request>().empty()) << "no second set-up";
-  for (const auto& head : heads[0])
-    EXPECT_FALSE(head.find("su") != std::string::npos && &head > &heads[0][2]);
+  ASSERT_FALSE(heads[0].empty());
+  for (const auto& head : heads[0]) EXPECT_EQ(head.find("su"), std::string::npos) << head;
   EXPECT_EQ(get(beside(seated, "s12.m4s")).status, 200);
   EXPECT_EQ(told_of<Request>().size(), 1u) << "seats are the module's to count";
   // The box was restarted too and knows nothing of it: placed anew where that is not paid for again.
@@ -537,6 +521,34 @@
   EXPECT_EQ(get("/a/t/index.m3u8", sid).status, 200) << "three have gone silent";
 }
 
+TEST_F(Front, WhatIsKeptOfListsAndOfPlaybacksThatAreOverIsBounded) {
+  terms.hls.lists_kept_bytes = 5'000;
+  terms.hls.parted_kept = 3;
+  front = make();
+  net.replace(front_host, *front);
+  net.run(net.now() + 100ms);
+  for (int i = 0; i < 12; ++i) {
+    const auto title = "t" + std::to_string(i);
+    lay("a", title, recorded(20));
+    EXPECT_EQ(get(uris(get("/a/" + title + "/index.m3u8", sid).body)[0]).status, 200);
+    EXPECT_LE(front->held().lists_bytes, 5'000u);
+    EXPECT_GT(front->held().lists_bytes, 0u);
+  }
+  net.run(net.now() + 20s);
+  EXPECT_EQ(front->held().playbacks, 0u);
+  EXPECT_EQ(front->held().parted, 3u);
+}
+
+TEST_F(Front, AListThatBringsNothingNewIsTold) {
+  lay("a", "t", live(10, 15));
+  const auto media = uris(get("/a/t/index.m3u8", sid).body)[0];
+  for (int i = 0; i < 8; ++i) {
+    get(media);
+    EXPECT_EQ(said("playlist_stands"), i > 6) << i << " seconds on";
+    net.run(net.now() + 960ms);
+  }
+}
+
 TEST_F(Front, PackedListsAndAHugeOne) {
   const auto text = recorded(20'000);
   const auto packed = gzip::packed(text);
--- a/tests/program/ledger_model.h
+++ b/tests/program/ledger_model.h
@@ -183,8 +183,6 @@
     }
     return made;
   }
-  const Size& left() const { return left_; }
-  void left(const Size& size) { left_ = size; }
 
  private:
   struct Pending {
--- a/tests/program/ledger_test.cpp
+++ b/tests/program/ledger_test.cpp
@@ -84,7 +84,73 @@
   (which == 0 ? made.release_by_key : which == 1 ? made.keeps_after_restart : made.answers_unkept) = true;
   return made;
 }
-const Size small{2, 2, 1, 1, 0, 1, 3, 3, 1};
+
+// An owner of the only team, and what it says.
+struct Owner {
+  explicit Owner(LedgerTerms terms = {}) : ledger(with(std::move(terms)), 1) {}
+  static LedgerTerms with(LedgerTerms terms) {
+    terms.peers = {"m0"};
+    return terms;
+  }
+  std::vector<Message> says(const LedgerEvent& event) {
+    std::vector<Message> said;
+    for (const auto& act : ledger.handle(Span(1), event)) {
+      if (const auto* tell = std::get_if<Tell>(&act)) said.push_back(tell->message);
+      if (const auto* keep = std::get_if<KeepRecord>(&act)) ticket = keep->ticket;
+      if (const auto* away = std::get_if<TurnAway>(&act)) turned_away = away->why;
+    }
+    return said;
+  }
+  Ledger ledger;
+  std::uint64_t ticket = 0;
+  std::optional<TurnAway::Why> turned_away;
+};
+
+TEST(Ledger, ASeatThatMovesTwiceBeforeItIsKeptIsTakenFromBoth) {
+  Owner owner;
+  const SeatKey key{"team", "v"};
+  const auto ask = [&](Peer from) { return owner.says(Heard{from, AskSeat{key, 7, 1, Span(1), Span(100)}}); };
+  ask(1);
+  EXPECT_EQ(owner.says(Kept{owner.ticket}).size(), 1u) << "given";
+  EXPECT_TRUE(ask(2).empty()) << "nothing is said of it before it is kept";
+  EXPECT_TRUE(ask(3).empty());
+  std::size_t taken = 0, given = 0;
+  for (const auto& message : owner.says(Kept{owner.ticket})) {
+    taken += std::holds_alternative<SeatTaken>(message);
+    given += std::holds_alternative<SeatGiven>(message);
+  }
+  EXPECT_EQ(taken, 2u);
+  EXPECT_EQ(given, 1u);
+}
+
+TEST(Ledger, MoreClaimsThanItMayHoldAreTurnedAway) {
+  LedgerTerms terms;
+  terms.most_claims = 2;
+  Owner owner(terms);
+  for (int i = 0; i < 2; ++i) owner.says(Claimed{{"team", std::to_string(i)}, 9, Span(1), Span(100)});
+  EXPECT_FALSE(owner.turned_away);
+  owner.says(Claimed{{"team", "third"}, 9, Span(1), Span(100)});
+  EXPECT_EQ(owner.turned_away, TurnAway::Why::too_many);
+}
+
+TEST(Ledger, ALogIsReadAgainAndWhatIsOddInItIsTold) {
+  using What = Record::What;
+  const auto record = [](What what, const char* who, Peer holder, ClaimNumber number, int until) {
+    return Record{what, {"team", who}, holder, number, 5, Span(1), Span(until)};
+  };
+  const std::vector<Record> log{record(What::given, "a", 1, 7, 50),  record(What::given, "b", 2, 8, 100),
+                                record(What::freed, "a", 2, 7, 50),  record(What::given, "c", 2, 8, 100),
+                                record(What::asked, "d", 0, 3, 100), record(What::gave_back, "d", 0, 2, 100),
+                                record(What::freed, "e", 1, 1, 50)};
+  const auto found = replayed(log);
+  EXPECT_EQ(found.given.size(), 3u) << "freed for another holder, it is held still";
+  EXPECT_EQ(found.asked.size(), 1u) << "an older claim's end is not this one's";
+  const auto odd = odd_seats(log, Span(60));
+  ASSERT_EQ(odd.size(), 2u);
+  EXPECT_EQ(odd[0].why, "past its time");
+  EXPECT_EQ(odd[1].why, "its claim has another seat too");
+  EXPECT_TRUE(odd_seats({log[0], log[1]}, Span(50)).empty());
+}
 
 TEST(LedgerModel, EveryOrderOfASmallWorldKeepsItsSeats) {
   const std::vector<std::pair<const char*, Size>> sizes{
@@ -116,7 +182,9 @@
   for (int which = 0; which < 3; ++which) {
     const auto searched = search(sizes[which], planted(which), 150'000);
     EXPECT_TRUE(searched.wrong) << "fault " << which << " in " << searched.states << " states";
-    const auto walked = walk(which == 0 ? Size{2, 2, 1, 0, 2, 8, 8, 30, 30} : Size{3, 4, 2, 3, 8, 6, 30, 30, 20}, planted(which), 4000, 250);
+    const auto walked =
+        walk(which == 0 ? Size{2, 2, 1, 0, 2, 8, 8, 30, 30} : Size{3, 4, 2, 3, 8, 6, 30, 30, 20},
+             planted(which), 4000, 250);
     EXPECT_TRUE(walked.wrong) << "fault " << which << " in " << walked.steps << " steps";
     std::printf("fault %d: found after %zu states (%s), and after %u walks (%s)\n", which, searched.states,
                 searched.wrong.value_or("no").c_str(), walked.seed, walked.wrong.value_or("no").c_str());
--- a/tests/program/manager_test.cpp
+++ b/tests/program/manager_test.cpp
@@ -5,6 +5,7 @@
 
 #include "hints/cmsd.h"
 #include "net.h"
+#include "scripted.h"
 
 namespace violettide::manager {
 namespace {
@@ -12,18 +13,7 @@
 using namespace std::chrono_literals;
 using testing::Net;
 using testing::Puppet;
-
-// Does what a test says, and keeps what it was told.
-class Script : public Decider {
- public:
-  std::vector<Event>* told;
-  std::function<std::vector<Order>(Span, const Event&)> decide_so;
-  explicit Script(std::vector<Event>* told) : told(told) {}
-  std::vector<Order> decide(Span now, const Event& event) override {
-    told->push_back(event);
-    return decide_so ? decide_so(now, event) : std::vector<Order>{};
-  }
-};
+using testing::Script;
 
 class Mishaps : public ::testing::Test {
  protected:
@@ -43,10 +33,8 @@
     terms.list_port = Net::port(list_host);
     terms.silence = 3s;
     terms.viewer_links = 8;
-    auto script = std::make_unique<Script>(&told);
-    script->decide_so = [this](Span now, const Event& event) {
-      return decide ? decide(now, event) : place(event);
-    };
+    auto script = std::make_unique<Script>(
+        &told, [this](Span now, const Event& event) { return decide ? decide(now, event) : place(event); });
     front = std::make_unique<Manager>(terms, 1, "", std::move(script));
     net.add(*front, 1);
     net.add(box, 1);
@@ -102,11 +90,7 @@
   std::string& got(Link link) { return viewer.peers[link].got; }
   template <typename Kind>
   std::vector<Kind> told_of() const {
-    std::vector<Kind> all;
-    for (const auto& event : told) {
-      if (const auto* kind = std::get_if<Kind>(&event)) all.push_back(*kind);
-    }
-    return all;
+    return testing::of_kind<Kind>(told);
   }
   // The connections that were set up with the box so far that carried a request.
   static std::vector<Link> asked(Puppet& puppet) {
@@ -125,10 +109,7 @@
   std::map<PlaybackId, int> tries;
   std::function<std::vector<Order>(Span, const Event&)> decide;
   Link next_link = 1;
-  std::string boxes_json =
-      R"({"revision":1,"clock_ms":100000,"boxes":[)"
-      R"({"name":"b0","address":"127.0.0.1","port":1001,"state":"ready","kind":0,"cell":0,"hall":"h","weight":1},)"
-      R"({"name":"b1","address":"127.0.0.1","port":2001,"state":"ready","kind":0,"cell":1,"hall":"h","weight":1}]})";
+  std::string boxes_json = testing::two_boxes;
 };
 
 TEST_F(Mishaps, AWholePathWithHintsOfBoth) {
--- a/tests/program/net.h
+++ b/tests/program/net.h
@@ -196,12 +196,12 @@
               stored_[{at, a.name}] = a.bytes;
             },
             [&](Keep& a) {
-                     kept.push_back(a.bytes);
-                     if (keep_fails.empty()) kept_by[at].push_back(a.bytes);
-                     const auto failed = keep_fails;
-                     post(now_ + keep_time, at, KeepDone{a.ticket, failed});
-                   },
-                   [&](Say& a) { said.emplace_back(at, a); },
+              kept.push_back(a.bytes);
+              if (keep_fails.empty()) kept_by[at].push_back(a.bytes);
+              const auto failed = keep_fails;
+              post(now_ + keep_time, at, KeepDone{a.ticket, failed});
+            },
+            [&](Say& a) { said.emplace_back(at, a); },
             [&](Leave&) { kill(at); },
         },
         act);
--- a/tests/program/seats_test.cpp
+++ b/tests/program/seats_test.cpp
@@ -369,6 +369,11 @@
   EXPECT_EQ(status(ask(wrong_key, "s1", token("ann")), 1500ms), 503)
       << "its words are signed with another key";
   EXPECT_EQ(in_book(), 0u);
+  EXPECT_TRUE(std::any_of(net.said.begin(), net.said.end(), [&](auto& s) {
+    return s.first == owner() && s.second.event == "peer_refused" &&
+           std::get<std::string>(s.second.fields[0].second).find("not signed with the hall's key") !=
+               std::string::npos;
+  })) << "told, with its cause";
   // Bytes that are no frame end their connection and nothing else.
   for (const auto& bytes : {std::string("GET / HTTP/1.1\r\n\r\n"), std::string(4, '\xff'),
                             std::string(4, '\0') + "x", std::string("\0\0\0\4abcd", 8)}) {
--- a/tests/program/settings_test.cpp
+++ b/tests/program/settings_test.cpp
@@ -91,6 +91,10 @@
       {"# a deployment", "X = hall(\"a\")", "'hall' gives no value"},
       {"# a deployment", "ms(3)", "gives a value that nothing takes here"},
       {"# a deployment", "X = s(1e300)", "a number too large to mean anything"},
+      {"# a deployment", "hls(secrets = [\"\"])", "f.star:1:5: an empty secret signs nothing"},
+      {"# a deployment", "peer(name = \"m\", port = 1)\npeer(name = \"m\", port = 2)",
+       "f.star:2:6: two managers named 'm'"},
+      {"# a deployment", "entitlement(grace = s(1))", "f.star:1:1: 'entitlement' lacks 'issuer'"},
       {"# a deployment", "= 3", "expected"},
       {"# a deployment", "X 3", "expected"},
   };
@@ -122,6 +126,15 @@
       << std::get<Mistakes>(read)[0].text();
 }
 
+TEST(Deployment, AnHlsAddressNamesAtMost256Plans) {
+  auto text = without_semicolon();
+  for (int i = 0; i < 256; ++i) text += "plan(\"p" + std::to_string(i) + "\", ms(800), s(4))\n";
+  EXPECT_TRUE(std::holds_alternative<Deployment>(read_deployment("f.star", files_of({{"f.star", text}}))));
+  const auto read = read_deployment("f.star", files_of({{"f.star", text + "hls()\n"}}));
+  ASSERT_TRUE(std::holds_alternative<Mistakes>(read));
+  EXPECT_EQ(std::get<Mistakes>(read)[0].text(), "f.star:1:1: more than 256 plans with 'hls'");
+}
+
 TEST(Day, TroublesNameWhomTheyBefall) {
   const std::string day =
       "load(\"f.star\")\nday(length = s(4))\nboxes(count = 4)\nviewers(per_second = 1, least_watch = s(1), "
@@ -138,6 +151,8 @@
             "d/day.star:5:50: there are 4 boxes, numbered from 0");
   EXPECT_EQ(told("trouble(kind = \"crash\", at = s(1), lasts = s(1))"),
             "d/day.star:5:1: 'crash' lacks whom it befalls: 'boxes'");
+  EXPECT_EQ(told("issuer(teams = 2)"), "d/day.star:5:1: the settings lack 'entitlement'");
+  EXPECT_EQ(told("hls()\nissuer(teams = 2)\nentitlement(issuer = \"i\")"), "");
 }
 
 }  // namespace
