Draw a manager's seed unless it is told one, and tell it its number among the fronts

Seen: serve's seed was 1 by default, so fronts started alike drew every chance alike. Result: seeds_drawn fails before, passes now; a told seed is used as told.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -14,8 +14,8 @@
   std::vector<std::string> peers;  // NAME:PORT, in place of the settings'
   std::optional<std::uint16_t> keys_port;
   std::optional<std::uint16_t> port, list_port, control_port, feed_port;
-  std::optional<int> fronts;
-  std::uint64_t seed = 1;
+  std::optional<int> fronts, number;
+  std::optional<std::uint64_t> seed;
 };
 struct SeatsWords {
   std::string folder;
--- a/src/cli/day.cpp
+++ b/src/cli/day.cpp
@@ -255,6 +255,7 @@
         "--port",      std::to_string(ports_[i]),
         "--list-port", std::to_string(list_port_),
         "--fronts",    std::to_string(day_.managers),
+        "--number",    std::to_string(i),
         "--keep-in",   keep,
         "--log",       folder_ + "/" + name(i) + ".log",
         "--ports-to",  port_file(i),
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -22,6 +22,8 @@
                       "the catalogue feed to follow, in place of the settings'");
   serving->add_option("--fronts", serve.fronts,
                       "how many managers share the boxes, in place of the settings'");
+  serving->add_option("--number", serve.number,
+                      "which of them this one is, from 0; its place among the peers, or drawn, if not told");
   serving->add_option("--keep-in", serve.keep_in, "folder of what survives a restart");
   serving->add_option("--log", serve.log, "log file; standard error if none");
   serving->add_option("--ports-to", serve.ports_to, "write the bound port here once it listens");
@@ -29,7 +31,7 @@
   serving->add_option("--peer", serve.peers, "NAME:PORT of each manager of the hall, this one too");
   serving->add_option("--peers-key", serve.peers_key, "file of the key that managers sign with");
   serving->add_option("--keys-port", serve.keys_port, "the issuer's port, in place of the settings'");
-  serving->add_option("--seed", serve.seed, "of the module's chances");
+  serving->add_option("--seed", serve.seed, "of this manager's chances; drawn if not told");
   serving->callback([&] { result = run_serve(serve); });
 
   StandinWords boxes;
--- a/src/cli/services.cpp
+++ b/src/cli/services.cpp
@@ -211,6 +211,11 @@
   return true;
 }
 
+std::uint64_t drawn_seed() {
+  std::random_device chance;
+  return std::uint64_t{chance()} << 32 | chance();
+}
+
 }  // namespace
 
 int run_serve(const ServeWords& words) {
@@ -244,6 +249,9 @@
     return 2;
   }
   if (!take_peers(words, deployment.peers_key_from, front.name, front.peers)) return 2;
+  if (words.number) front.site.own_number = *words.number;
+  if (!front.site.own_number && static_cast<int>(front.peers.all.size()) == front.site.fronts)
+    front.site.own_number = static_cast<int>(front.peers.own);
   if (words.keys_port) front.entitlement.keys_port = *words.keys_port;
   front.wall_at_zero = std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch());
   front.peer_door = front.catalogued ? 2 : 1;
@@ -269,7 +277,10 @@
                        {{"records", static_cast<std::int64_t>(present.size())},
                         {"start", static_cast<std::int64_t>(seats->restart())}}});
     }
-    manager::Manager manager(front, words.seed, kept, nullptr);
+    // Guards against managers that were started alike drawing alike.
+    const auto seed = words.seed ? *words.seed : drawn_seed();
+    log(Span(0), Say{"seeded", {{"seed", std::to_string(seed)}}});
+    manager::Manager manager(front, seed, kept, nullptr);
     std::vector<runtime::Listening> doors{{deployment.listen_address, deployment.listen_port}};
     std::unique_ptr<cataloguestore::Store> store;
     if (front.catalogued) {
