Let go of old requests in the try budget's count with each request

Seen: 200,000 playbacks that begin and end leave 1.67 MB behind in the module, budget or none. Cause: on(Request) noted each; within_budget let old ones go only behind a return for first tries.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -281,7 +281,8 @@
 
   void on(const Request& request) {
     if (is_known(request)) return;
-    taken_.push_back(now_);
+    if (terms_.budget_window > 0s) taken_.push_back(now_);
+    forget_old_tries();
     probes_due_ = std::min(probes_due_ + probes_per_playback(), most_probes_due);
     auto& playback = admit(request);
     // Guards against holding a viewer who leaves before the startup target.
@@ -834,12 +835,17 @@
   // Tries beyond the first, this one too, stay within the free few and the share of playbacks taken.
   bool within_budget(const Playback& playback) {
     if (playback.tries == 0 || terms_.budget_window <= 0s) return true;
-    while (!taken_.empty() && taken_.front() <= now_ - terms_.budget_window) taken_.pop_front();
-    while (!further_.empty() && further_.front() < now_ - terms_.budget_window) further_.pop_front();
+    forget_old_tries();
     return further_.size() + 1.0 <=
            terms_.budget_free + terms_.budget_share * static_cast<double>(taken_.size());
   }
 
+  // With each request, so that a front which seldom tries again does not count its requests for ever.
+  void forget_old_tries() {
+    while (!taken_.empty() && taken_.front() <= now_ - terms_.budget_window) taken_.pop_front();
+    while (!further_.empty() && further_.front() < now_ - terms_.budget_window) further_.pop_front();
+  }
+
   bool may_try(const Playback& playback) {
     const auto& plan = terms_.plans[playback.request.plan];
     if (plan.pay_at_setup && playback.may_have_run) return false;
@@ -928,7 +934,7 @@
     earned_ += earned_weight * (terms_.rung_revenue.at(rung) - earned_);
     attach(playback, id);
     playback.state = Playback::State::setting_up;
-    if (playback.tries > 0) further_.push_back(now_);
+    if (playback.tries > 0 && terms_.budget_window > 0s) further_.push_back(now_);
     ++playback.tries;
     ++server.setting_up;
     server.last_set_up = now_;
--- /dev/null
+++ b/tests/program/brain_memory_test.cpp
@@ -0,0 +1,75 @@
+// The module's memory over weeks: counted by replacing this program's allocator.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <new>
+
+#include "brain.h"
+
+namespace {
+std::size_t in_use = 0;
+constexpr std::size_t head = alignof(std::max_align_t);
+}  // namespace
+
+void* operator new(std::size_t size) {
+  auto* block = static_cast<char*>(std::malloc(size + head));
+  if (!block) throw std::bad_alloc();
+  *reinterpret_cast<std::size_t*>(block) = size;
+  in_use += size;
+  return block + head;
+}
+void operator delete(void* at) noexcept {
+  if (!at) return;
+  auto* block = static_cast<char*>(at) - head;
+  in_use -= *reinterpret_cast<std::size_t*>(block);
+  std::free(block);
+}
+void operator delete(void* at, std::size_t) noexcept { operator delete(at); }
+
+namespace violettide {
+namespace {
+
+using namespace std::chrono_literals;
+
+SiteTerms terms(Span budget_window) {
+  SiteTerms terms;
+  terms.plans.resize(1);
+  terms.plans[0].startup_target = 1s;
+  terms.rung_kb = {100};
+  terms.kind_streams = {30};
+  terms.link_kb_per_weight = 1e6;
+  terms.budget_window = budget_window;
+  terms.budget_free = 3;
+  terms.most_tries = 5;
+  return terms;
+}
+
+// Playbacks that start at once and end at once, four a second.
+std::size_t after(Brain& brain, Span& now, PlaybackId& next, int playbacks) {
+  for (int i = 0; i < playbacks; ++i, ++next) {
+    now += 250ms;
+    Request request;
+    request.playback = next;
+    request.abandon_at = now + 4s;
+    brain.handle(now, request);
+    brain.handle(now, Started{next, 0, 0s});
+    brain.handle(now, TryEnded{next, 0, Outcome::served, true, {}});
+  }
+  return in_use;
+}
+
+void holds_no_more_after_a_day(Span budget_window) {
+  Brain brain(terms(budget_window), 1);
+  brain.handle(0s, ServerList{ServerList::Reach::complete, {ServerEntry{}}});
+  Span now = 1s;
+  PlaybackId next = 0;
+  const auto early = after(brain, now, next, 20'000);
+  const auto late = after(brain, now, next, 200'000);
+  EXPECT_LE(late, early + 4096) << "bytes held";
+}
+
+TEST(MemoryOfTheModule, DoesNotGrowWithRequests) { holds_no_more_after_a_day(0s); }
+TEST(MemoryOfTheModule, DoesNotGrowWithRequestsUnderABudget) { holds_no_more_after_a_day(5s); }
+
+}  // namespace
+}  // namespace violettide
