--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -414,17 +414,30 @@
     server.weight = std::isfinite(entry.weight) && entry.weight > 0 ? entry.weight : 1;
     server.standing = entry.standing;
     server.started = entry.started;
-    if (restarted) {
-      server.strikes = 0;
-      server.rests_until = now_;
-      server.others.kb.reset();
-    }
+    if (restarted) begin_anew(server);
     if (server.started)
       server.cold_since = std::max(server.cold_since.value_or(*server.started), *server.started);
     if (!server.listed) server.window.open_at(std::max(1.0, streams_of(server) - server.held), now_);
     server.listed = true;
   }
 
+  // Guards against a process that was just started being judged by the one before it: what this front
+  // has there still is its own, and nothing else of what it knew.
+  static void begin_anew(Server& server) {
+    Server fresh;
+    fresh.kind = server.kind;
+    fresh.cell = server.cell;
+    fresh.hall = server.hall;
+    fresh.weight = server.weight;
+    fresh.standing = server.standing;
+    fresh.started = server.started;
+    fresh.own_kb = server.own_kb;
+    fresh.held = server.held;
+    fresh.setting_up = server.setting_up;
+    fresh.last_set_up = server.last_set_up;
+    server = fresh;
+  }
+
   double streams_of(const Server& server) const {
     const auto kind = static_cast<std::size_t>(server.kind);
     return kind < terms_.kind_streams.size() ? terms_.kind_streams[kind] : 1;
