Count only servers that are there in cells, racks and the mean server's streams

Seen: two small servers listed after fifty large ones had gone were taken to have a ninth of their link. Cause: arrange() counted all that were ever listed.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -388,7 +388,8 @@
     return servers_[id];
   }
 
-  // Sorts the listed servers by cell and rack, so that a request costs about its holders.
+  // Sorts the servers that are there by cell and rack, so that a request costs about its holders. Guards
+  // against names that were listed once deciding for ever what a mean server is.
   void arrange() {
     cells_.assign(static_cast<std::size_t>(terms_.cells), {});
     for (auto& rack : racks_) rack.servers.clear(), rack.reckoned_at.reset();
@@ -396,7 +397,7 @@
     int count = 0;
     for (ServerId id = 0; id < servers_.size(); ++id) {
       const auto& server = servers_[id];
-      if (!server.listed) continue;
+      if (server.standing == Standing::gone) continue;
       cells_[wrapped(server.cell, cells_.size())].push_back(id);
       rack_of(server).servers.push_back(id);
       streams += streams_of(server);
--- a/tests/program/brain_memory_test.cpp
+++ b/tests/program/brain_memory_test.cpp
@@ -1,4 +1,4 @@
-// The module's memory over weeks: counted by replacing this program's allocator.
+// What the module keeps over weeks. Memory is counted by replacing this program's allocator.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
@@ -71,5 +71,26 @@
 TEST(MemoryOfTheModule, DoesNotGrowWithRequests) { holds_no_more_after_a_day(0s); }
 TEST(MemoryOfTheModule, DoesNotGrowWithRequestsUnderABudget) { holds_no_more_after_a_day(5s); }
 
+// Servers whose names come and go for weeks: each is another to the module, and the present ones decide
+// alone.
+TEST(MemoryOfTheModule, ServersThatAreGoneDecideNothing) {
+  auto site = terms(0s);
+  site.kind_streams = {30, 300};
+  site.link_kb_per_weight = 120;
+  Brain brain(site, 1);
+  ServerList list;
+  for (ServerId id = 0; id < 50; ++id) list.entries.push_back({id, Standing::ready, 1, 0, 0, {}, 1});
+  brain.handle(0s, list);
+  // All of the large kind are gone; the small ones that stay are of the mean kind now, and have its link.
+  list.entries.clear();
+  for (ServerId id = 50; id < 52; ++id) list.entries.push_back({id, Standing::ready, 0, 0, 0, {}, 1});
+  brain.handle(1s, list);
+  Request request;
+  request.abandon_at = 6s;
+  const auto orders = brain.handle(2s, request);
+  ASSERT_EQ(orders.size(), 2u) << "a rung and a set-up: the link of a mean server carries one playback";
+  EXPECT_TRUE(std::holds_alternative<violettide::SetUp>(orders[1]));
+}
+
 }  // namespace
 }  // namespace violettide
