Remove the module's own word on standing still: idle where managers do stand still

General path: a server that timed out rests one startup target, and the other holders take over; on sockets the manager still reads what came meanwhile before it calls a box late. It guarded no rule.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -255,8 +255,6 @@
   }
 
   std::vector<Order> handle(Span now, const Event& event) {
-    // Guards against taking this front's own standing still for the servers' silence: a tick is overdue.
-    if (ticking_ && now - now_ > 2 * tick) stood_still_until_ = now;
     now_ = now;
     orders_.clear();
     if (!ticking_) start_ticking();
@@ -988,7 +986,7 @@
   // Silence, a reset or a refused connection: rest, then one single try at a time until one starts.
   // What failed may come back cold.
   void strike(Server& server) {
-    if (now_ < server.rests_until || now_ == stood_still_until_) return;
+    if (now_ < server.rests_until) return;
     const double rest = first_rest * std::exp2(std::min(server.strikes, 3)) * seconds(shortest_target());
     ++server.strikes;
     server.rests_until = now_ + span_of(rest);
@@ -1064,7 +1062,6 @@
   Span now_{0};
   std::vector<Order> orders_;
   bool ticking_ = false;
-  Span stood_still_until_ = -1s;
   bool ask_for_list_ = false;
   std::deque<Server> servers_;                // by id
   std::vector<std::vector<ServerId>> cells_;  // the servers listed in each
