Remove one try at a time after a strike, and the count it needed: the cold pace covers it

General path: after its rest a struck server takes set-ups at the cold pace, one a turn, since strike() makes it cold. Where no cold time is stated its rests still double.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -196,7 +196,6 @@
 
   double own_kb = 0;  // rungs of this front's playbacks there, set-ups included
   int held = 0;
-  int setting_up = 0;
   OthersUse others;     // ladder errors included
   Span asked_at = -1h;  // by a probe for a rise
   bool news = false;    // of room, by which no rise has been weighed yet
@@ -319,7 +318,6 @@
     if (found->second.server != what.server) return;  // of a try before this one
     auto& server = servers_[what.server];
     found->second.state = Playback::State::playing;
-    --server.setting_up;
     server.strikes = 0;
   }
 
@@ -432,7 +430,6 @@
     fresh.started = server.started;
     fresh.own_kb = server.own_kb;
     fresh.held = server.held;
-    fresh.setting_up = server.setting_up;
     fresh.last_set_up = server.last_set_up;
     server = fresh;
   }
@@ -772,7 +769,6 @@
     if (--seated_[seat] == 0) seated_.erase(seat);
     ask_more(server, -rate(playback.request, playback.rung));
     if (--server.held == 0) server.own_kb = 0;
-    if (playback.state == Playback::State::setting_up) --server.setting_up;
     playback.state = Playback::State::waiting;
   }
 
@@ -801,7 +797,7 @@
 
   bool is_open(const Server& server) const {
     if (server.standing != Standing::ready) return false;
-    if (now_ < server.rests_until || (server.strikes > 0 && server.setting_up > 0)) return false;
+    if (now_ < server.rests_until) return false;
     return server.held + 1 <= server.window.size(now_) && within_pace(server);
   }
 
@@ -948,7 +944,6 @@
     playback.state = Playback::State::setting_up;
     if (playback.tries > 0 && terms_.budget_window > 0s) further_.push_back(now_);
     ++playback.tries;
-    ++server.setting_up;
     server.last_set_up = now_;
     orders_.push_back(SetRung{request.playback, rung});
     orders_.push_back(SetUp{request.playback, id, time_limit(playback)});
@@ -983,7 +978,7 @@
     if (outcome == Outcome::full) server.others.hear(link_of(server) - server.own_kb, now_);
   }
 
-  // Silence, a reset or a refused connection: rest, then one single try at a time until one starts.
+  // Silence, a reset or a refused connection: rest, the longer the more in a row until a try starts.
   // What failed may come back cold.
   void strike(Server& server) {
     if (now_ < server.rests_until) return;
