Remove the ban on rises where struck or short, and a stored time that was never read

General path: room is the told link times the mean share, so a short server has none to rise into. The time since when a server is short was stored and asked only whether it is there: the last note's time tells.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -190,8 +190,7 @@
   bool window_cut = false;
   ShareMeter shares;
   double mean_at_loss = 1;
-  std::optional<Span> short_since;  // the train of shortfall notes that runs
-  Span last_short{0};
+  std::optional<Span> last_short;  // the last note of the train of shortfall notes that runs
   std::optional<Span> last_drop;
 
   double own_kb = 0;  // rungs of this front's playbacks there, set-ups included
@@ -539,7 +538,7 @@
       if (other.held == 0) continue;
       const bool fits = other.own_kb + other.others.kb.value_or(0) < full_share * link_of(other);
       ++held;
-      if (other.short_since && now_ - other.last_short <= 2 * silence() && fits) ++cut;
+      if (other.last_short && now_ - *other.last_short <= 2 * silence() && fits) ++cut;
     }
     if (cut < 2 || 2 * cut <= held) return;
     rack.gave_kb = asked_of(rack) * share;
@@ -550,14 +549,13 @@
   void take_share(Server& server, double share) {
     server.shares.note(now_, share, silence());
     if (share >= full_share) {
-      server.short_since.reset();
+      server.last_short.reset();
       server.news = true;
       return;
     }
-    const bool train = server.short_since && now_ - server.last_short <= 2 * silence();
+    const bool train = server.last_short && now_ - *server.last_short <= 2 * silence();
     const double mean = server.shares.mean(now_, silence());
     server.last_short = now_;
-    if (!train) server.short_since = now_;
     // A late train of notes about one event is one loss, unless the mean falls on.
     if (!train || mean < mean_drop_is_loss * server.mean_at_loss) {
       server.window.cut(server.held, now_);
@@ -732,8 +730,6 @@
   bool may_rise(const Playback& playback) {
     if (playback.state != Playback::State::playing || playback.withdrawn) return false;
     if (playback.rung >= top_of(playback.request)) return false;
-    const auto& server = servers_[playback.server];
-    if (server.short_since || server.strikes > 0) return false;
     return !playback.chosen_at || now_ - *playback.chosen_at >= rise_spacing * terms_.switch_cost;
   }
 
