Hear drains from a list service that began again, and check every figure of its lists

Cause: BoxList::take, BoxList::read, Manager::list_answered. Ruled out: services that are merely behind; they lift no drain, as before. Result: two tests of cores_test fail before (one by an exception that nothing caught) and pass now.

--- a/src/boxlist/boxlist.cpp
+++ b/src/boxlist/boxlist.cpp
@@ -1,5 +1,7 @@
 #include "boxlist/boxlist.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -12,6 +14,9 @@
 // A shrink to under this part of the ready boxes at one stroke waits for a second list.
 constexpr double shrink_believed = 0.5;
 constexpr std::size_t small_fleet = 4;  // of which half may well go at once
+// A service whose count has been lower for so long has begun again: one that is behind catches up sooner.
+constexpr Span begins_again = std::chrono::seconds(30);
+constexpr std::int64_t latest_ms = 1'000'000'000'000'000;  // of a clock; later ones would run over
 
 struct Missing {
   Fault fault;
@@ -61,11 +66,14 @@
     json = Json::parse(text);
   } catch (const Json::parse_error& error) {
     return Fault{"byte " + std::to_string(error.byte), "not JSON"};
+  } catch (const Json::exception&) {
+    return Fault{"list", "a number beyond all bounds"};
   }
   try {
     if (!json.is_object()) return Fault{"list", "expected an object"};
     revision = need<std::int64_t>(json, "revision", "list", "a whole number", &Json::is_number_integer);
     clock = need<std::int64_t>(json, "clock_ms", "list", "a whole number", &Json::is_number_integer);
+    if (clock < 0 || clock > latest_ms) return Fault{"list.clock_ms", "expected a time in ms"};
     const auto found = json.find("boxes");
     if (found == json.end() || !found->is_array()) return Fault{"list.boxes", "expected an array"};
     std::vector<Entry> entries;
@@ -77,6 +85,9 @@
       Entry entry;
       entry.name = need<std::string>(box, "name", place, "a string", &Json::is_string);
       entry.address = need<std::string>(box, "address", place, "a string", &Json::is_string);
+      in_addr numbers{};
+      if (inet_pton(AF_INET, entry.address.c_str(), &numbers) != 1)
+        return Fault{place + ".address", "expected an IPv4 address in numbers"};
       const auto port = need<std::int64_t>(box, "port", place, "a port", &Json::is_number_integer);
       if (port < 1 || port > 65535) return Fault{place + ".port", "expected 1 to 65535"};
       entry.port = static_cast<std::uint16_t>(port);
@@ -100,6 +111,8 @@
       if (box.contains("started_ms"))
         entry.started =
             need<std::int64_t>(box, "started_ms", place, "a time in ms", &Json::is_number_integer);
+      if (entry.started < 0 || entry.started > latest_ms)
+        return Fault{place + ".started_ms", "expected a time in ms"};
       if (entry.name.empty()) return Fault{place + ".name", "expected some text"};
       if (const auto [other, fresh] = names.try_emplace(entry.name, i); !fresh)
         return Fault{place + ".name", "the same as boxes[" + std::to_string(other->second) + "].name"};
@@ -136,12 +149,18 @@
     return news;
   }
   heard_at_ = now;
-  // Guards against a list service that fell behind its own word: a drain once told stays told.
+  auto& read_entries = std::get<std::vector<Entry>>(entries);
+  // Guards against a list service that fell behind its own word: a drain once told stays told. One that
+  // began again, with a lower count, says drains too: those count at once, and all of it after a while.
   if (revision < revision_) {
-    news.remark = "older than the list held";
-    return news;
+    if (!older_since_) older_since_ = now;
+    if (now - *older_since_ < begins_again) {
+      news.remark = "older than the list held: only its drains count";
+      take_drains(now, read_entries, clock, news);
+      return news;
+    }
   }
-  auto& read_entries = std::get<std::vector<Entry>>(entries);
+  older_since_.reset();
   std::map<std::string_view, bool> named;
   for (const auto& entry : read_entries) named[entry.name] = true;
   std::size_t ready = 0, dropped = 0;
@@ -169,6 +188,17 @@
   return news;
 }
 
+// Of boxes held to be ready, and of the very processes that they are.
+void BoxList::take_drains(Span now, const std::vector<Entry>& entries, std::int64_t clock, News& news) {
+  news.list = ServerList{ServerList::Reach::changes, {}};
+  for (const auto& entry : entries) {
+    const auto known = find(entry.name);
+    if (!known || entry.standing == Standing::ready || boxes_[*known].standing != Standing::ready) continue;
+    if (entry.started == boxes_[*known].incarnation) put(now, entry, clock, false, news);
+  }
+  if (news.list->entries.empty()) news.list.reset();
+}
+
 News BoxList::take_cached(Span now, std::string_view json) {
   News news;
   std::int64_t revision = 0, clock = 0;
--- a/src/boxlist/boxlist.h
+++ b/src/boxlist/boxlist.h
@@ -41,7 +41,8 @@
   // `halls`: the halls' names, in the order that gives their numbers.
   explicit BoxList(std::vector<std::string> halls);
 
-  // A list as it came. A faulty one changes nothing. One older than the last is passed over. One that at a
+  // A list as it came. A faulty one changes nothing. One older than the last is passed over but for its
+  // drains, unless they have been older for half a minute: then the service began again. One that at a
   // stroke drops over half of the boxes is held until the next says the same; what it says of drains counts.
   News take(Span now, std::string_view json);
   // The list kept from before a restart: names and places only, as nothing tells how old its starts are.
@@ -59,6 +60,7 @@
   struct Entry;
   std::variant<std::vector<Entry>, Fault> read(std::string_view json, std::int64_t& revision,
                                                std::int64_t& clock) const;
+  void take_drains(Span now, const std::vector<Entry>& entries, std::int64_t clock, News& news);
   void put(Span now, const Entry& entry, std::int64_t clock, bool cached, News& news);
 
   std::vector<std::string> halls_;
@@ -68,6 +70,7 @@
   std::int64_t revision_ = -1;
   std::optional<Span> heard_at_;
   bool shrink_held_ = false;
+  std::optional<Span> older_since_;  // lists have been older than the one held
 };
 
 }  // namespace violettide::boxlist
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -1149,7 +1149,8 @@
     return tell(ListFailed{});
   }
   auto news = list_.take(now_, body);
-  if (news.list && !news.fault) acts_->push_back(Store{"boxes.json", body});
+  // Only a list that is taken whole is one to begin with after a restart.
+  if (news.list && news.remark.empty()) acts_->push_back(Store{"boxes.json", body});
   if (!news.remark.empty()) list_etag_.clear();  // the next answer must come whole to be weighed again
   take_list(std::move(news), "service");
 }
--- a/tests/program/cores_test.cpp
+++ b/tests/program/cores_test.cpp
@@ -17,8 +17,8 @@
   return text + "]}";
 }
 std::string box_text(const std::string& name, const std::string& state = "ready", int port = 80,
-                     int started = 90000) {
-  return "{\"name\":\"" + name + "\",\"address\":\"127.0.0.1\",\"port\":" + std::to_string(port) +
+                     std::int64_t started = 90000, const std::string& address = "127.0.0.1") {
+  return "{\"name\":\"" + name + "\",\"address\":\"" + address + "\",\"port\":" + std::to_string(port) +
          ",\"state\":\"" + state +
          "\",\"kind\":0,\"cell\":1,\"hall\":\"h\",\"weight\":1,\"started_ms\":" + std::to_string(started) +
          "}";
@@ -47,6 +47,36 @@
   EXPECT_EQ(list.box(0).standing, Standing::draining) << "a drain once told stays told";
 }
 
+// Its disk was lost, or it was set up anew: what it says now is true, though its count is lower.
+TEST(BoxList, AServiceBegunAnewIsBelievedAfterAWhileAndItsDrainsAtOnce) {
+  boxlist::BoxList list({"h"});
+  list.take(1s, list_text(500, {box_text("a"), box_text("b"), box_text("c", "draining")}));
+  auto news = list.take(2s, list_text(1, {box_text("a", "draining"), box_text("b"), box_text("c")}));
+  ASSERT_TRUE(news.list) << "word of a drain counts at once, whatever the count";
+  EXPECT_EQ(news.list->reach, ServerList::Reach::changes);
+  ASSERT_EQ(news.list->entries.size(), 1u);
+  EXPECT_EQ(news.list->entries[0].server, 0u);
+  EXPECT_EQ(list.box(0).standing, Standing::draining);
+  EXPECT_EQ(list.box(2).standing, Standing::draining) << "nothing is lifted yet";
+  EXPECT_FALSE(news.remark.empty());
+  news = list.take(20s, list_text(3, {box_text("a", "draining"), box_text("b"), box_text("c")}));
+  EXPECT_FALSE(news.list);
+  news = list.take(33s, list_text(4, {box_text("a", "draining"), box_text("b"), box_text("c")}));
+  ASSERT_TRUE(news.list) << "its count has been lower for half a minute: it began again";
+  EXPECT_EQ(list.revision(), 4);
+  EXPECT_EQ(list.box(2).standing, Standing::ready);
+}
+
+TEST(BoxList, AServiceThatCatchesUpIsNoneBegunAnew) {
+  boxlist::BoxList list({"h"});
+  list.take(1s, list_text(500, {box_text("a", "draining")}));
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_FALSE(list.take(Span(2s) + 5s * i, list_text(490, {box_text("a")})).list);
+    EXPECT_TRUE(list.take(Span(3s) + 5s * i, list_text(500, {box_text("a", "draining")})).list);
+  }
+  EXPECT_EQ(list.box(0).standing, Standing::draining);
+}
+
 TEST(BoxList, AFleetThatVanishesAtAStrokeIsHeldOnce) {
   boxlist::BoxList list({"h"});
   std::vector<std::string> all;
@@ -83,7 +113,14 @@
       {list_text(2, {box_text("b", "ready", 70000)}), "boxes[0].port"},
       {list_text(2, {box_text("b"), "7"}), "boxes[1]"},
       {list_text(2, {"{\"name\":\"x\"}"}), "boxes[0].address"},
-      {list_text(2, {box_text("")}), "boxes[0].name"}};
+      {list_text(2, {box_text("")}), "boxes[0].name"},
+      {R"({"revision":1e999,"clock_ms":1,"boxes":[]})", "list"},
+      {R"({"revision":99999999999999999999,"clock_ms":1,"boxes":[]})", "list.revision"},
+      {list_text(2, {box_text("b", "ready", 1000, 90000, "box-1.example")}), "boxes[0].address"},
+      {list_text(2, {box_text("b", "ready", 1000, 90000, "127.0.0.1.5")}), "boxes[0].address"},
+      {list_text(2, {box_text("b", "ready", 1000, 90000, "")}), "boxes[0].address"},
+      {list_text(2, {box_text("b", "ready", 1000, -9'000'000'000'000'000'000)}), "boxes[0].started_ms"},
+      {R"({"revision":1,"clock_ms":9000000000000000000,"boxes":[]})", "list.clock_ms"}};
   for (const auto& [text, place] : bad) {
     const auto news = list.take(2s, text);
     ASSERT_TRUE(news.fault) << text;
