Send what was said last before a connection or the process ends; tell dials that fail at once

Seen: answers cut half a second after a hang-up behind them, and at Leave; a peer that had written its last lost the rest of its answer; a dial to no address threw out of the loop, and the notice of one that failed took the core's timer. Cause: hang, Leave and dial in runtime.cpp. Ruled out: the seat log at a stop; closing waits for what is being kept. Result: two tests of runtime_test; a JSON number beyond bounds in catalogue changes is a fault with its place too.

--- a/src/cataloguewire/json.cpp
+++ b/src/cataloguewire/json.cpp
@@ -65,6 +65,8 @@
     json = Json::parse(text);
   } catch (const Json::parse_error& error) {
     return BadJson{"byte " + std::to_string(error.byte), "not JSON"};
+  } catch (const Json::exception&) {
+    return BadJson{"body", "a number beyond all bounds"};
   }
   if (!schema) return json;
   valijson::ValidationResults results;
--- a/src/runtime/runtime.cpp
+++ b/src/runtime/runtime.cpp
@@ -15,7 +15,8 @@
 
 constexpr int backlog = 1024;
 constexpr std::size_t read_size = 64 * 1024;
-constexpr std::uint64_t linger_ms = 500;  // for a peer to read an answer before its unread bytes reset it
+constexpr std::uint64_t linger_ms = 500;      // for a peer to read an answer before its unread bytes reset it
+constexpr std::uint64_t sending_ms = 10'000;  // for what is sent last to be taken by its reader
 
 [[noreturn]] void fail(const std::string& what, int code) { throw Failed{what + ": " + uv_strerror(code)}; }
 
@@ -41,6 +42,8 @@
     origin_ = uv_hrtime() / 1000;
     uv_timer_init(&loop_, &timer_);
     timer_.data = this;
+    uv_timer_init(&loop_, &failing_);
+    failing_.data = this;
     uv_prepare_init(&loop_, &prepare_);
     prepare_.data = this;
     uv_check_init(&loop_, &check_);
@@ -102,7 +105,7 @@
     bool lingers = false;
     std::string out;  // gathered while acts are done
     bool touched = false, reading = false, hung = false, writing = false, connected = false;
-    bool shut_after = false;
+    bool shut_after = false, all_sent = false, peer_done = false;
     int closing_handles = 0;
   };
   struct Writing {
@@ -121,6 +124,7 @@
   }
 
   void deliver(const Happening& what) {
+    if (leaving_) return;  // the core is done
     std::vector<Act> acts;
     core_.handle(now(), what, acts);
     perform(acts);
@@ -173,13 +177,19 @@
                      [&](Say& a) {
                        if (said_) said_(now(), a);
                      },
-                     [&](Leave&) { uv_stop(&loop_); },
+                     [&](Leave&) { leaving_ = true; },
                  },
                  act);
     }
     for (const auto link : touched) {
       if (auto* to = find(link)) flush(*to);
     }
+    leave_if_done();
+  }
+
+  // Guards against an end that cuts off what was sent last: connections that linger are waited for.
+  void leave_if_done() {
+    if (leaving_ && lingering_ == 0) uv_stop(&loop_);
   }
 
   static uv_stream_t* stream(Connection& c) { return reinterpret_cast<uv_stream_t*>(&c.socket); }
@@ -201,15 +211,29 @@
   void dial(const Dial& what) {
     auto* connection = make(what.link);
     connection->connecting.data = connection;
-    const auto place = place_of(what.address, what.port);
-    const int code =
-        uv_tcp_connect(&connection->connecting, &connection->socket,
-                       reinterpret_cast<const sockaddr*>(&place), [](uv_connect_t* request, int status) {
-                         auto* c = static_cast<Connection*>(request->data);
-                         if (c->hung) return;
-                         c->inside->connected(*c, status);
-                       });
-    if (code) failed_.push_back(what.link), wake(Span(0));
+    sockaddr_in place{};
+    int code = uv_ip4_addr(what.address.c_str(), what.port, &place);
+    if (!code)
+      code = uv_tcp_connect(&connection->connecting, &connection->socket,
+                            reinterpret_cast<const sockaddr*>(&place), [](uv_connect_t* request, int status) {
+                              auto* c = static_cast<Connection*>(request->data);
+                              if (c->hung) return;
+                              c->inside->connected(*c, status);
+                            });
+    if (!code) return;
+    // Told in a turn of its own, by a timer of its own: the core's may be set for later.
+    failed_.push_back(what.link);
+    uv_timer_start(
+        &failing_,
+        [](uv_timer_t* t) {
+          auto* self = of(t);
+          std::vector<Link> failed;
+          failed.swap(self->failed_);
+          for (const auto link : failed) {
+            if (auto* c = self->find(link)) self->end(*c, Ending::refused);
+          }
+        },
+        0, 0);
   }
 
   void connected(Connection& c, int status) {
@@ -233,7 +257,13 @@
         [](uv_stream_t* s, ssize_t count, const uv_buf_t* buffer) {
           auto& c = *static_cast<Connection*>(s->data);
           if (c.hung) {
-            if (count < 0) c.inside->close(c);
+            // Guards against a peer that only writes no more losing the rest of its answer.
+            if (count == UV_EOF && !c.all_sent) {
+              c.peer_done = true;
+              uv_read_stop(s);
+            } else if (count < 0) {
+              c.inside->close(c);
+            }
             return;  // what comes while an answer lingers is let go
           }
           if (count > 0)
@@ -298,20 +328,23 @@
       links_.erase(c->link);
       auto* request = new uv_shutdown_t;
       request->data = c;
-      if (uv_shutdown(request, stream(*c), [](uv_shutdown_t* r, int) { delete r; })) {
-        delete request;
-        return close(*c);
-      }
       uv_timer_init(&loop_, &c->linger);
       c->linger.data = c;
       c->lingers = true;
-      uv_timer_start(
-          &c->linger,
-          [](uv_timer_t* t) {
-            auto& c = *static_cast<Connection*>(t->data);
-            c.inside->close(c);
-          },
-          linger_ms, 0);
+      ++lingering_;
+      // The peer's time to read begins when all is with the kernel.
+      const auto shut = [](uv_shutdown_t* r, int) {
+        std::unique_ptr<uv_shutdown_t> done(r);
+        auto& c = *static_cast<Connection*>(r->data);
+        if (uv_is_closing(reinterpret_cast<uv_handle_t*>(&c.linger))) return;
+        c.all_sent = true;
+        c.peer_done ? c.inside->close(c) : linger(c, linger_ms);
+      };
+      if (uv_shutdown(request, stream(*c), shut)) {
+        delete request;
+        return close(*c);
+      }
+      linger(*c, sending_ms);
       if (!c->reading) {
         c->hung = false;
         read(*c);
@@ -323,6 +356,16 @@
     close(*c, true);
   }
 
+  static void linger(Connection& c, std::uint64_t ms) {
+    uv_timer_start(
+        &c.linger,
+        [](uv_timer_t* t) {
+          auto& c = *static_cast<Connection*>(t->data);
+          c.inside->close(c);
+        },
+        ms, 0);
+  }
+
   void close(Connection& c, bool reset = false) {
     if (const auto found = links_.find(c.link); found != links_.end() && found->second == &c)
       links_.erase(found);
@@ -332,6 +375,8 @@
       if (--c->closing_handles == 0) delete c;
     };
     c.closing_handles = c.lingers ? 2 : 1;
+    if (c.lingers) --lingering_;
+    leave_if_done();
     if (c.lingers) uv_close(reinterpret_cast<uv_handle_t*>(&c.linger), closed);
     if (!reset || uv_tcp_close_reset(&c.socket, closed) != 0)
       uv_close(reinterpret_cast<uv_handle_t*>(&c.socket), closed);
@@ -341,16 +386,7 @@
     const auto in = std::max<std::int64_t>(0, (at - now()).count());
     uv_update_time(&loop_);
     uv_timer_start(
-        &timer_,
-        [](uv_timer_t* t) {
-          auto* self = of(t);
-          std::vector<Link> failed;
-          failed.swap(self->failed_);
-          for (const auto link : failed) {
-            if (auto* c = self->find(link)) self->end(*c, Ending::refused);
-          }
-          self->deliver(Woken{});
-        },
+        &timer_, [](uv_timer_t* t) { of(t)->deliver(Woken{}); },
         static_cast<std::uint64_t>((in + 999) / 1000), 0);
   }
 
@@ -448,7 +484,7 @@
   std::function<void(Span, const Say&)> said_;
   std::string folder_;
   uv_loop_t loop_{};
-  uv_timer_t timer_{};
+  uv_timer_t timer_{}, failing_{};
   uv_prepare_t prepare_{};
   uv_check_t check_{};
   std::array<uv_signal_t, 2> signals_{};
@@ -465,7 +501,8 @@
   std::deque<std::uint64_t> unkept_;
   std::string keep_failed_;
   uv_work_t keeping_{};
-  bool ending_ = false;
+  bool ending_ = false, leaving_ = false;
+  int lingering_ = 0;
   std::array<char, read_size> buffer_;
 };
 
--- a/tests/program/runtime_test.cpp
+++ b/tests/program/runtime_test.cpp
@@ -2,8 +2,13 @@
 #include "runtime/runtime.h"
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <map>
+#include <thread>
 
 #include "manager/manager.h"
 
@@ -161,6 +166,85 @@
 }
 
 // The manager itself on sockets, with nothing behind it: it answers, and stops in order when asked.
+// A dial that can't even be begun is told as one that was refused, and the time that was asked for still comes.
+TEST(Runtime, ADialThatFailsAtOnceIsToldAndTakesNoTimer) {
+  class Dialler : public Core {
+   public:
+    bool refused = false, woken = false;
+    void handle(Span now, const Happening& what, std::vector<Act>& acts) override {
+      if (!std::exchange(began_, true)) {
+        acts.push_back(WakeAt{now + 50ms});
+        acts.push_back(Dial{1, "box-1.example", 80});
+        due_ = now + 50ms;
+        return;
+      }
+      if (const auto* ended = std::get_if<Ended>(&what)) refused = ended->how == Ending::refused && !woken;
+      if (std::holds_alternative<Woken>(what) && now >= due_) woken = true;
+      if (woken) acts.push_back(Leave{});
+    }
+
+   private:
+    bool began_ = false;
+    Span due_{0};
+  };
+  Dialler dialler;
+  Loop loop(dialler, {}, {}, "");
+  loop.run();
+  EXPECT_TRUE(dialler.refused);
+  EXPECT_TRUE(dialler.woken);
+}
+
+// Sends a long answer to whoever asks, hangs up behind it and leaves.
+class LastAnswer : public Bounded {
+ public:
+  static constexpr std::size_t size = 16 * 1024 * 1024;
+  void happened(Span, const Happening& what, std::vector<Act>& acts) override {
+    const auto* asked = std::get_if<Received>(&what);
+    if (!asked) return;
+    acts.push_back(Send{asked->link, std::string(size, 'x')});
+    acts.push_back(Hang{asked->link, true});
+    acts.push_back(Leave{});
+  }
+};
+
+// Asks, and reads to the end; `pause`: before it reads. How many bytes came.
+std::size_t asks(std::uint16_t port, bool writes_no_more, std::chrono::milliseconds pause) {
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in place{};
+  place.sin_family = AF_INET;
+  place.sin_port = htons(port);
+  place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  std::size_t came = 0;
+  if (::connect(socket, reinterpret_cast<const sockaddr*>(&place), sizeof place) == 0 &&
+      ::send(socket, "?", 1, 0) == 1) {
+    if (writes_no_more) ::shutdown(socket, SHUT_WR);
+    pollfd nothing{-1, 0, 0};
+    ::poll(&nothing, 1, static_cast<int>(pause.count()));
+    std::vector<char> bytes(64 * 1024);
+    for (ssize_t got = 0; (got = ::recv(socket, bytes.data(), bytes.size(), 0)) > 0;)
+      came += static_cast<std::size_t>(got);
+  }
+  ::close(socket);
+  return came;
+}
+
+TEST(Runtime, TheLastAnswerIsWholeBeforeItLeaves) {
+  for (const bool writes_no_more : {false, true}) {
+    LastAnswer core;
+    std::size_t came = 0;
+    std::thread viewer;
+    {
+      Loop loop(core, {{"127.0.0.1", 0}}, {}, "");
+      // A reader that is slower than the time to linger, which begins when all is with the kernel.
+      viewer = std::thread([&, port = loop.port(0)] { came = asks(port, writes_no_more, 700ms); });
+      loop.run();
+    }
+    viewer.join();
+    EXPECT_FALSE(core.gave_up);
+    EXPECT_EQ(came, LastAnswer::size) << (writes_no_more ? "having written its last" : "still open to write");
+  }
+}
+
 TEST(Runtime, AManagerWithoutBoxesRejectsAndStopsInOrder) {
   class Viewer : public Bounded {
    public:
