Answer everybody at a stop, refuse nothing paid that may run, take back tries at a drain

A 503 with a come-back time went to requests of playbacks whose paid try was out; tries waiting for their connection were sent after word of a drain; a hall's managers polled in one moment for good. Cause: serve_media, fetch, Ring::stop, take_list, start_try, poll_list. Ruled out: seats at a stop (their log tells); rests (nothing waits for their end).

--- a/src/manager/catalogue_door.cpp
+++ b/src/manager/catalogue_door.cpp
@@ -113,7 +113,7 @@
                 say("catalogue_feed", {{"after", static_cast<std::int64_t>(a.after)}, {"cause", a.cause}});
               feed_whole_ = feed_whole_ || a.whole;
               if (!feed_out_ && terms_.feed_port != 0)
-                arm(a.cause.empty() ? Span(0) : terms_.list_every, Ring::feed, 0);
+                arm(a.cause.empty() ? Span(0) : spread(terms_.list_every), Ring::feed, 0);
             },
         },
         act);
@@ -165,11 +165,14 @@
   static const auto nobody = std::make_shared<const std::vector<ServerId>>();
   const auto listed = entry ? entry->holders : nobody;
   tell(HoldersChanged{playback.id, listed});
-  if (!playback.try_link) return;
+  if (playback.try_link && !std::binary_search(listed->begin(), listed->end(), playback.server))
+    take_back(playback);
+}
+
+// What is written to the socket may run: it is waited for. What is not is taken back and placed anew.
+void Manager::take_back(Playback& playback) {
   const auto found = boxes_.find(playback.try_link);
-  // What is written to the socket may run: it is waited for. What is not is taken back and placed anew.
   if (found == boxes_.end() || found->second->connected) return;
-  if (std::binary_search(listed->begin(), listed->end(), found->second->server)) return;
   const auto server = found->second->server;
   if (const auto viewer = viewers_.find(found->second->viewer); viewer != viewers_.end())
     viewer->second->box = 0;
@@ -200,7 +203,7 @@
   const auto again = [this](Span in) { arm(in, Ring::feed, 0); };
   if (!whole || (status != 200 && status != 410) || body.size() > most_feed) {
     say("catalogue_feed_failed", {{"status", std::int64_t{status}}});
-    return again(terms_.list_every);
+    return again(spread(terms_.list_every));
   }
   if (status == 410) {  // the log no longer reaches back to us
     feed_whole_ = true;
@@ -209,7 +212,7 @@
   auto read = cataloguewire::read_feed(body);
   if (const auto* bad = std::get_if<cataloguewire::BadJson>(&read)) {
     say("catalogue_feed_malformed", {{"place", bad->place}, {"cause", bad->cause}});
-    return again(terms_.list_every);
+    return again(spread(terms_.list_every));
   }
   // The keeper asks on when it has taken these, or why not.
   if (const auto* fed = std::get_if<catalogue::Fed>(&read))
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -78,6 +78,7 @@
       gate_(terms_.entitlement.gate),
       keys_(terms_.hls.passes) {
   terms_.hls.show.silence = terms_.silence;
+  chance_.seed(static_cast<std::minstd_rand::result_type>(seed % std::minstd_rand::modulus));
 }
 Manager::~Manager() = default;
 
@@ -117,7 +118,9 @@
 void Manager::first_moment() {
   began_ = true;
   if (!cached_list_.empty()) take_list(list_.take_cached(now_, cached_list_), "kept");
-  arm(Span(0), Ring::list, 0);
+  // One that knows no box asks at once; others of a hall that starts together ask apart.
+  arm(cached_list_.empty() ? Span(0) : terms_.list_every * static_cast<int>(chance_() % 100) / 100,
+      Ring::list, 0);
   if (terms_.catalogued && terms_.feed_port != 0) arm(Span(0), Ring::feed, 0);
   arm(terms_.object_length, Ring::weigh, 0);
   if (!terms_.peers.all.empty()) peers_ = std::make_unique<peers::Peers>(terms_.peers, peer_links);
@@ -180,6 +183,7 @@
       say("viewer_stuck", {{"link", static_cast<std::int64_t>(bell.of)}});
       return drop_viewer(bell.of, true);
     case Ring::stop:
+      answer_all();
       acts_->push_back(Leave{});
       return;
   }
@@ -201,7 +205,7 @@
   }
   // Guards against more connections than this front has memory for; those it has keep what they hold.
   if (viewers_.size() >= terms_.viewer_links || stopping_) {
-    acts_->push_back(Send{what.link, http::head_text(503, {{"Retry-After", "1"}}, 0, false)});
+    acts_->push_back(Send{what.link, http::head_text(503, come_back_soon(), 0, false)});
     acts_->push_back(Hang{what.link, true});
     say("viewer_turned_away", {{"cause", std::string(stopping_ ? "stopping" : "connections")}});
     return;
@@ -289,7 +293,14 @@
 
 // Which playback a request belongs to, and what it wants of it.
 void Manager::serve_media(ViewerLink& viewer) {
-  if (stopping_) return answer(viewer, 503, "this front is stopping\n", {{"Retry-After", "1"}});
+  const auto known = by_key_.find(viewers_key(viewer));
+  if (stopping_) {
+    // What waits for a set-up gets the answer of that set-up; a refusal would say that nothing ran.
+    const auto* of = known == by_key_.end() ? nullptr : playbacks_.at(known->second).get();
+    const bool waits = of && !of->playing && of->askers.size() < most_askers;
+    if (!waits && of && out_and_paid(*of)) return answer(viewer, 502, "this front is stopping\n");
+    if (!waits) return answer(viewer, 503, "this front is stopping\n", come_back_soon());
+  }
   const bool by_address =
       viewer.wants > ViewerLink::Wants::lists || viewer.pass.names == passes::Pass::Names::lists;
   if (viewer.wants != ViewerLink::Wants::object && by_address && !adopt(viewer)) return;
@@ -300,7 +311,8 @@
     // Guards against one session id gathering requests without end behind a slow set-up.
     if (playback.askers.size() >= most_askers) {
       viewer.playback.reset();
-      return answer(viewer, 503, "too many requests wait for this set-up\n", {{"Retry-After", "1"}});
+      if (out_and_paid(playback)) return answer(viewer, 502, "too many requests wait for this set-up\n");
+      return answer(viewer, 503, "too many requests wait for this set-up\n", come_back_soon());
     }
     viewer.waits = true;
     playback.askers.push_back(viewer.link);
@@ -316,12 +328,22 @@
   fetch(viewer, playback);
 }
 
+std::string Manager::viewers_key(const ViewerLink& viewer) {
+  const auto& sid = viewer.hints.hints.session_id;
+  return std::to_string(viewer.path.plan) + '/' + viewer.path.title + '/' +
+         (sid ? "s" + *sid : "l" + std::to_string(viewer.link));
+}
+
+// Paid at set-up, and that may have run: a word that it may be had elsewhere would be a second set-up.
+bool Manager::out_and_paid(const Playback& playback) const {
+  return terms_.site.plans[playback.plan].pay_at_setup && (playback.playing || playback.try_link != 0);
+}
+
 // A playback is known by plan, title and session id. Without an id the viewer's connection stands in for
 // it, and the playback ends with the connection.
 Manager::Playback& Manager::admit(ViewerLink& viewer) {
   const auto& sid = viewer.hints.hints.session_id;
-  std::string key = std::to_string(viewer.path.plan) + '/' + viewer.path.title + '/';
-  key += sid ? "s" + *sid : "l" + std::to_string(viewer.link);
+  auto key = viewers_key(viewer);
   if (const auto found = by_key_.find(key); found != by_key_.end()) return *playbacks_.at(found->second);
   auto fresh = std::make_unique<Playback>();
   auto& playback = *fresh;
@@ -706,7 +728,9 @@
 
 void Manager::start_try(const SetUp& order) {
   const auto found = playbacks_.find(order.playback);
-  if (found == playbacks_.end()) return;
+  // Guards against a set-up for a playback whose viewers are all gone: nothing is sent, and the module hears.
+  if (found == playbacks_.end() || found->second->askers.empty())
+    return tell(TryEnded{order.playback, order.server, Outcome::not_sent, true, {}});
   auto& playback = *found->second;
   ++playback.tries;
   playback.server = order.server;
@@ -749,7 +773,8 @@
   if (!link) {
     --playback.objects_out;
     rest(playback);
-    return answer(viewer, 503, "the box has all the connections it may have\n", {{"Retry-After", "1"}});
+    if (out_and_paid(playback)) return answer(viewer, 502, "the box has all the connections it may have\n");
+    return answer(viewer, 503, "the box has all the connections it may have\n", come_back_soon());
   }
   viewer.box = link->link;
   link->playback = playback.id;
@@ -1113,7 +1138,7 @@
 // ---- the list ----
 
 void Manager::poll_list() {
-  arm(terms_.list_every, Ring::list, 0);
+  arm(spread(terms_.list_every), Ring::list, 0);
   if (list_out_ || terms_.list_port == 0) return;
   list_out_ = true;
   service_link(Use::list, terms_.list_address, terms_.list_port, "/boxes", list_etag_, 2 * terms_.list_every);
@@ -1175,6 +1200,16 @@
                      {"revision", list_.revision()},
                      {"boxes", static_cast<std::int64_t>(news.list->entries.size())}});
   tell(*news.list);
+  // Guards against a try decided before word of a drain that is sent past the grace, when its connection
+  // opens: what is not written to a socket yet is taken back.
+  std::vector<PlaybackId> unsent;
+  for (const auto& [id, link] : boxes_) {
+    if (link->use != Use::set_up || link->connected || !link->playback) continue;
+    const bool moved = std::find(news.moved.begin(), news.moved.end(), link->server) != news.moved.end();
+    if (moved || list_.box(link->server).standing != Standing::ready) unsent.push_back(*link->playback);
+  }
+  std::sort(unsent.begin(), unsent.end());
+  for (const auto id : unsent) take_back(*playbacks_.at(id));
 }
 
 // ---- the module ----
@@ -1223,7 +1258,8 @@
                    const auto found = playbacks_.find(o.playback);
                    if (found == playbacks_.end()) return;
                    http::Fields more;
-                   const auto whole = (o.come_back.count() + 999'999) / 1'000'000;
+                   // Those turned away together are not told to come back together.
+                   const auto whole = (spread(o.come_back).count() + 999'999) / 1'000'000;
                    if (whole > 0) more.emplace_back("Retry-After", std::to_string(whole));
                    part(*found->second, hls::Ending::refused, o.come_back);
                    if (found->second->recording) demand_.turned_away(now_, *found->second->recording);
@@ -1244,6 +1280,22 @@
 
 // ---- stopping ----
 
+// Guards against an end of the process that leaves anybody without an answer.
+void Manager::answer_all() {
+  std::vector<PlaybackId> waiting;
+  for (const auto& [id, playback] : playbacks_) {
+    if (!playback->playing && !playback->askers.empty()) waiting.push_back(id);
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const auto id : waiting) {
+    auto& playback = *playbacks_.at(id);
+    if (playback.try_link)
+      settle(playback, 504, "this front stops, and the set-up took too long\n", {});
+    else
+      settle(playback, 503, "this front stops\n", come_back_soon());
+  }
+}
+
 // Everybody is answered: what waits for a set-up by the module, what plays gets its object to the end.
 void Manager::on(const StopAsked&) {
   if (stopping_) return;
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -110,7 +111,10 @@
   void head_to_viewer(ViewerLink& viewer, BoxLink& box, const http::ResponseHead& head);
 
   // ---- playbacks ----
+  static std::string viewers_key(const ViewerLink& viewer);
   Playback& admit(ViewerLink& viewer);
+  bool out_and_paid(const Playback& playback) const;
+  void answer_all();
   void ask(Playback& playback);
   std::optional<Request> request_for(Playback& playback, const ViewerLink& viewer);
   void settle(Playback& playback, int status, const std::string& text, const http::Fields& more);
@@ -198,6 +202,7 @@
   void keeper_did(std::vector<catalogue::KeeperAct> acts);
   void holders_changed(const std::vector<catalogue::RecordingId>& recordings, bool whole);
   void hold_anew(Playback& playback);
+  void take_back(Playback& playback);
   void wake_feeds();
   void poll_feed();
   void feed_answered(BoxLink& link, bool whole);
@@ -214,10 +219,14 @@
 
   Bells::Handle arm(Span in, Ring ring, std::uint32_t of) { return bells_.arm(now_ + in, {ring, of}); }
   void say(std::string event, std::vector<Field> fields = {});
+  // Guards against fronts, and viewers turned away together, falling into step: a quarter off, either way.
+  Span spread(Span period) { return period * (75 + static_cast<int>(chance_() % 51)) / 100; }
+  http::Fields come_back_soon() { return {{"Retry-After", std::to_string(1 + chance_() % 3)}}; }
   std::int64_t said_id(PlaybackId id) const { return static_cast<std::int64_t>(id); }
 
   FrontTerms terms_;
   std::unique_ptr<Decider> decider_;
+  std::minstd_rand chance_;
   boxlist::BoxList list_;
   hints::Weighing weighing_;
   std::string cached_list_;
--- a/tests/program/manager_test.cpp
+++ b/tests/program/manager_test.cpp
@@ -224,6 +224,23 @@
   EXPECT_EQ(front->held().playbacks, 0u);
 }
 
+TEST_F(Mishaps, ACrowdTurnedAwayTogetherIsNotToldOneTime) {
+  decide = [](Span, const Event& event) -> std::vector<Order> {
+    if (const auto* request = std::get_if<Request>(&event)) return {Reject{request->playback, 4s}};
+    return {};
+  };
+  std::set<std::string> told_times;
+  for (int i = 0; i < 30; ++i) {
+    const auto link = dial();
+    send(link, get("/a/t/r2/0", "s" + std::to_string(i)));
+    const auto at = got(link).find("Retry-After: ");
+    ASSERT_NE(at, std::string::npos) << got(link);
+    told_times.insert(got(link).substr(at + 13, 1));
+    viewer.next.push_back(Hang{link, false}), act(viewer_host);
+  }
+  EXPECT_GE(told_times.size(), 2u) << "four seconds, a quarter off either way, in whole seconds";
+}
+
 TEST_F(Mishaps, AnAbortSaysWhetherTimeRanOut) {
   decide = [](Span, const Event& event) -> std::vector<Order> {
     if (const auto* r = std::get_if<Request>(&event)) return {violettide::SetUp{r->playback, 0, 300ms}};
@@ -524,6 +541,58 @@
   EXPECT_TRUE(net.left(front_host));
 }
 
+TEST_F(Mishaps, ASetUpForAPlaybackThatIsGoneIsToldAsNotSent) {
+  decide = [](Span, const Event& event) -> std::vector<Order> {
+    if (std::holds_alternative<Withdrawn>(event)) return {violettide::SetUp{0, 0, 500ms}};
+    return {};
+  };
+  const auto link = dial();
+  send(link, get("/paid/t/r0/0"));
+  viewer.next.push_back(Hang{link, false});
+  act(viewer_host);
+  ASSERT_EQ(told_of<TryEnded>().size(), 1u);
+  EXPECT_EQ(told_of<TryEnded>()[0].outcome, Outcome::not_sent);
+  EXPECT_TRUE(told_of<TryEnded>()[0].over);
+  EXPECT_TRUE(asked(box).empty());
+}
+
+// To a viewer 503 says that it may go elsewhere; while a paid try may have run nothing may say so.
+TEST_F(Mishaps, AStopRefusesNothingThatIsPaidAndOut) {
+  const auto first = dial(), again = dial(), other = dial();
+  send(first, get("/paid/t/r0/0", "p"));
+  net.tell_to_stop(front_host);
+  net.run(net.now() + 5ms);
+  send(again, get("/paid/t/r0/0", "p"));
+  send(other, get("/a/t/r0/0", "q"));
+  EXPECT_EQ(got(again), "") << "it waits for the set-up that is out";
+  box_sends(box, box_host, asked(box)[0], object("x"));
+  EXPECT_TRUE(got(first).starts_with("HTTP/1.1 200")) << got(first);
+}
+
+TEST_F(Mishaps, AStopAtItsLimitAnswersEverybodyFirst) {
+  decide = [](Span, const Event& event) -> std::vector<Order> {
+    const auto* request = std::get_if<Request>(&event);
+    if (!request || request->plan == 0) return {};
+    return {violettide::SetUp{request->playback, 0, 60s}};
+  };
+  terms.plans[0].abandon = terms.plans[1].abandon = 60s;
+  terms.stop_limit = 1s;
+  auto script =
+      std::make_unique<Script>(&told, [this](Span now, const Event& event) { return decide(now, event); });
+  front = std::make_unique<Manager>(terms, 1, "", std::move(script));
+  net.kill(front_host);
+  net.replace(front_host, *front);
+  net.run(net.now() + 50ms);
+  const auto one = dial(), two = dial();
+  send(one, get("/paid/t/r0/0", "p"));
+  send(two, get("/a/t/r0/0", "q"));
+  net.tell_to_stop(front_host);
+  net.run(net.now() + 2s);
+  EXPECT_TRUE(net.left(front_host));
+  EXPECT_TRUE(got(one).starts_with("HTTP/1.1 504")) << "its try is out: " << got(one);
+  EXPECT_TRUE(got(two).starts_with("HTTP/1.1 503")) << got(two);
+}
+
 TEST_F(Mishaps, AfterADayOfMishapsNothingIsHeld) {
   for (int i = 0; i < 40; ++i) {
     const auto link = dial();
@@ -542,5 +611,38 @@
   EXPECT_LE(front->held().timers, 3u) << "the list's, the weighing's and no other";
 }
 
+// Forty managers of one hall that start at one moment with the list they kept: how many of their polls fall
+// into the fullest fiftieth of a second, beside an even spread.
+TEST(InStep, AHallThatStartsTogetherPollsApart) {
+  Net net;
+  Puppet list;
+  constexpr int fronts = 40;
+  FrontTerms terms;
+  terms.plans = {{"a", 4s}};
+  terms.site.plans.resize(1);
+  terms.site.rung_kb = {10};
+  terms.halls = {"h"};
+  terms.list_port = Net::port(fronts);
+  std::vector<std::unique_ptr<Manager>> managers;
+  for (std::uint64_t seed = 1; seed <= fronts; ++seed) {
+    managers.push_back(std::make_unique<Manager>(terms, seed, testing::two_boxes, nullptr));
+    net.add(*managers.back(), 1);
+  }
+  std::map<int, int> slices;
+  int polls = 0;
+  list.on_bytes = [&](Puppet&, Link link, std::vector<Act>& acts) {
+    ++polls, ++slices[static_cast<int>(net.now() / 20ms)];
+    acts.push_back(
+        Send{link, http::head_text(200, {}, testing::two_boxes.size(), false) + testing::two_boxes});
+    acts.push_back(Hang{link, true});
+  };
+  net.add(list, 1);
+  net.run(10s);
+  int fullest = 0;
+  for (const auto& [slice, count] : slices) fullest = std::max(fullest, count);
+  EXPECT_GT(polls, fronts * 15);
+  EXPECT_LE(fullest, 8) << "even: " << polls / 500.0;
+}
+
 }  // namespace
 }  // namespace violettide::manager
