--- a/tests/program/manager_test.cpp
+++ b/tests/program/manager_test.cpp
@@ -241,6 +241,46 @@
   EXPECT_GE(told_times.size(), 2u) << "four seconds, a quarter off either way, in whole seconds";
 }
 
+// A kept connection may die with the request in it, and nobody knows whether it ran.
+TEST_F(Mishaps, APaidSetUpGetsAConnectionOfItsOwn) {
+  const auto first = dial(), paid = dial(), free = dial();
+  send(first, get("/a/t/r2/0", "s"));
+  box_sends(box, box_host, box.accepted[0], object("x"));
+  EXPECT_TRUE(got(first).ends_with("x"));
+  EXPECT_EQ(box.accepted.size(), 1u);
+  send(paid, get("/paid/t/r2/0", "p"));
+  EXPECT_EQ(box.accepted.size(), 2u) << "one is kept, and not used for it";
+  send(free, get("/a/t/r2/0", "q"));
+  EXPECT_EQ(box.accepted.size(), 2u) << "any other uses it";
+}
+
+TEST_F(Mishaps, ABoxThatCannotBeReachedIsNotWaitedForLongerThanItsLimit) {
+  net.latency = 200ms;  // the way there and back is longer than the limit
+  const auto link = dial();
+  net.run(net.now() + 1s);
+  send(link, get("/a/t/r2/0"));
+  net.run(net.now() + 900ms);
+  const auto ended = told_of<TryEnded>();
+  ASSERT_GE(ended.size(), 1u);
+  EXPECT_EQ(ended[0].outcome, Outcome::no_connection);
+  EXPECT_TRUE(asked(box).empty()) << "nothing ran";
+}
+
+TEST_F(Mishaps, OneTooManyThatWaitsForAPaidTryIsNotToldToGoElsewhere) {
+  terms.viewer_links = 40;
+  auto script = std::make_unique<Script>(&told, [this](Span, const Event& event) { return place(event); });
+  front = std::make_unique<Manager>(terms, 1, "", std::move(script));
+  net.kill(front_host);
+  net.replace(front_host, *front);
+  net.run(net.now() + 50ms);
+  for (const bool paid : {true, false}) {
+    Link last = 0;
+    for (int i = 0; i < 17; ++i) send(last = dial(), get(paid ? "/paid/t/r2/0" : "/a/t/r2/0", "s"));
+    EXPECT_TRUE(got(last).starts_with(paid ? "HTTP/1.1 502" : "HTTP/1.1 503")) << got(last);
+    EXPECT_EQ(got(last).find("Retry-After") == std::string::npos, paid);
+  }
+}
+
 TEST_F(Mishaps, AnAbortSaysWhetherTimeRanOut) {
   decide = [](Span, const Event& event) -> std::vector<Order> {
     if (const auto* r = std::get_if<Request>(&event)) return {violettide::SetUp{r->playback, 0, 300ms}};
