Let no late list take a later start back: the server counted as warm (rule 4)

Change: starts only move forward, and a new process keeps when its server was cold; turns are a bounded number.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -403,13 +403,14 @@
 
   void take_entry(const ServerEntry& entry) {
     auto& server = server_at(entry.server);
-    const bool restarted = server.listed && entry.started && entry.started != server.started;
+    // A start older than the one known is a list that came late: it takes no later start back.
+    const bool restarted = server.started && entry.started && *entry.started > *server.started;
     server.kind = entry.kind;
     server.cell = entry.cell;
     server.hall = entry.hall;
     server.weight = std::isfinite(entry.weight) && entry.weight > 0 ? entry.weight : 1;
     server.standing = entry.standing;
-    server.started = entry.started;
+    server.started = std::max(server.started, entry.started);
     if (restarted) begin_anew(server);
     if (server.started)
       server.cold_since = std::max(server.cold_since.value_or(*server.started), *server.started);
@@ -430,6 +431,7 @@
     fresh.own_kb = server.own_kb;
     fresh.held = server.held;
     fresh.last_set_up = server.last_set_up;
+    fresh.cold_since = server.cold_since;
     server = fresh;
   }
 
@@ -817,7 +819,8 @@
   std::size_t turn_at(const Server& server, Span at) const {
     const double age = std::max(0.0, seconds(at - *server.cold_since) / seconds(terms_.cold_time));
     const double warmed = terms_.cold_from * age + (1 - terms_.cold_from) * age * age * age / 3;
-    return static_cast<std::size_t>(pace_kept * terms_.overload_multiple * streams_of(server) * warmed);
+    const double let_through = pace_kept * terms_.overload_multiple * streams_of(server) * warmed;
+    return static_cast<std::size_t>(std::fmax(0, std::fmin(let_through, 1e9)));
   }
 
   // How far apart this front sends set-ups to a server that may have started when it did.
--- a/tests/program/rules_module_test.cpp
+++ b/tests/program/rules_module_test.cpp
@@ -41,24 +41,6 @@
 
 TEST(RulesOfTheModule, HoldWhateverItsCallerSays) { keeps_all({Bend::none, true}); }
 
-// Expected to fail: where fronts met failures of their own, or began after the start, their turns are not
-// common, and a window may hold up to a set-up a front more than the multiple and two. Shouts when it no
-// longer does.
-TEST(RulesOfTheModule, ExpectedToFailTurnsAreCommonAfterFailuresToo) {
-  std::string found;
-  for (std::uint32_t seed = 1; seed <= worlds && found.empty(); ++seed) {
-    World::Shape shape;
-    shape.rude = true;
-    shape.slack_a_front = 0;
-    World world(seed, shape);
-    if (world.run()) continue;
-    ASSERT_TRUE(world.model().broken()) << world.wrong();
-    ASSERT_EQ(world.model().broken()->rule, 4) << world.model().broken()->what;
-    found = world.model().broken()->what;
-  }
-  EXPECT_FALSE(found.empty()) << "it holds now: judge all worlds without the slack, and close the finding";
-}
-
 TEST(RulesOfTheModule, ASeedGivesTheSameOrders) {
   for (std::uint32_t seed = 1; seed <= 5; ++seed) {
     World one(seed, {}), other(seed, {});
--- a/tests/program/rules_world.h
+++ b/tests/program/rules_world.h
@@ -41,8 +41,6 @@
     bool rude = false;  // events that no good caller sends, beside the others
     int fronts = 0;     // 0: drawn
     Span length = 20s;
-    // Set-ups beyond a cold server's multiple for each front, as each may reckon from a moment of its own.
-    double slack_a_front = 1;
   };
 
   World(std::uint32_t seed, Shape shape) : shape_(shape), chance_(seed) {
@@ -149,7 +147,7 @@
     rules.multiple = terms_.overload_multiple;
     rules.streams = terms_.kind_streams[0];
     rules.fall = 3s;
-    rules.cold_slack = 2 + shape_.slack_a_front * fronts_count_;
+    rules.cold_slack = 2;
     rules.budget_window = terms_.budget_window;
     rules.budget_free = terms_.budget_free;
     rules.budget_share = terms_.budget_share;
