--- a/src/boxlist/boxlist.cpp
+++ b/src/boxlist/boxlist.cpp
@@ -159,8 +159,9 @@
       take_drains(now, read_entries, clock, news);
       return news;
     }
+  } else {
+    older_since_.reset();
   }
-  older_since_.reset();
   std::map<std::string_view, bool> named;
   for (const auto& entry : read_entries) named[entry.name] = true;
   std::size_t ready = 0, dropped = 0;
--- a/src/cli/services.cpp
+++ b/src/cli/services.cpp
@@ -249,6 +249,11 @@
     return 2;
   }
   if (!take_peers(words, deployment.peers_key_from, front.name, front.peers)) return 2;
+  if (words.number && (*words.number < 0 || *words.number >= front.site.fronts)) {
+    std::cerr << "violettide: --number " << *words.number << ": expected 0 to " << front.site.fronts - 1
+              << ", as there are " << front.site.fronts << " managers\n";
+    return 2;
+  }
   if (words.number) front.site.own_number = *words.number;
   if (!front.site.own_number && static_cast<int>(front.peers.all.size()) == front.site.fronts)
     front.site.own_number = static_cast<int>(front.peers.own);
--- a/src/manager/hls_door.cpp
+++ b/src/manager/hls_door.cpp
@@ -67,10 +67,6 @@
   return variables;
 }
 
-std::string key_of(int plan, const std::string& title, const std::string& sid) {
-  return std::to_string(plan) + '/' + title + "/s" + sid;
-}
-
 std::string more(std::string_view target, const std::string& query) {
   std::string made(target);
   if (!query.empty()) made.append(target.find('?') == std::string_view::npos ? "?" : "&").append(query);
@@ -165,7 +161,7 @@
       viewer.blocks = true;
       auto there = *asked;
       // The player counts as this front does; the box as it does itself.
-      const auto known = by_key_.find(key_of(pass.plan, pass.title, pass.sid));
+      const auto known = by_key_.find(key_of(pass.plan, pass.title, "s" + pass.sid));
       if (known != by_key_.end() && playbacks_.at(known->second)->hls) {
         auto& readers = playbacks_.at(known->second)->hls->readers;
         if (const auto reader = readers.find(pass.reader); reader != readers.end()) {
@@ -197,7 +193,7 @@
 // false.
 bool Manager::adopt(ViewerLink& viewer) {
   const auto& pass = viewer.pass;
-  const auto key = key_of(pass.plan, pass.title, pass.sid);
+  const auto key = key_of(pass.plan, pass.title, "s" + pass.sid);
   if (by_key_.contains(key)) return true;
   const auto& plan = terms_.site.plans[pass.plan];
   hls::Orphan orphan;
@@ -321,7 +317,7 @@
     if (readers.size() >= static_cast<std::size_t>(terms_.hls.most_readers)) {
       say("readers_too_many", {{"playback", said_id(playback.id)}});
       viewer.playback.reset();
-      answer(viewer, 503, "too many players share this session id\n", {{"Retry-After", "1"}});
+      answer(viewer, 503, "too many players share this session id\n", come_back_soon());
       return false;
     }
     return true;
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -293,14 +293,7 @@
 
 // Which playback a request belongs to, and what it wants of it.
 void Manager::serve_media(ViewerLink& viewer) {
-  const auto known = by_key_.find(viewers_key(viewer));
-  if (stopping_) {
-    // What waits for a set-up gets the answer of that set-up; a refusal would say that nothing ran.
-    const auto* of = known == by_key_.end() ? nullptr : playbacks_.at(known->second).get();
-    const bool waits = of && !of->playing && of->askers.size() < most_askers;
-    if (!waits && of && out_and_paid(*of)) return answer(viewer, 502, "this front is stopping\n");
-    if (!waits) return answer(viewer, 503, "this front is stopping\n", come_back_soon());
-  }
+  if (stopping_) return answer(viewer, 503, "this front is stopping\n", come_back_soon());
   const bool by_address =
       viewer.wants > ViewerLink::Wants::lists || viewer.pass.names == passes::Pass::Names::lists;
   if (viewer.wants != ViewerLink::Wants::object && by_address && !adopt(viewer)) return;
@@ -328,10 +321,14 @@
   fetch(viewer, playback);
 }
 
-std::string Manager::viewers_key(const ViewerLink& viewer) {
-  const auto& sid = viewer.hints.hints.session_id;
-  return std::to_string(viewer.path.plan) + '/' + viewer.path.title + '/' +
-         (sid ? "s" + *sid : "l" + std::to_string(viewer.link));
+std::string Manager::key_of(int plan, const std::string& title, const std::string& who) {
+  return std::to_string(plan) + '/' + title + '/' + who;
+}
+
+http::Fields Manager::come_back_soon() {
+  const auto longest = std::chrono::floor<std::chrono::seconds>(terms_.site.longest_come_back).count();
+  const auto most = static_cast<std::uint64_t>(std::clamp<std::int64_t>(longest, 1, 3));
+  return {{"Retry-After", std::to_string(1 + chance_() % most)}};
 }
 
 // Paid at set-up, and that may have run: a word that it may be had elsewhere would be a second set-up.
@@ -343,7 +340,8 @@
 // it, and the playback ends with the connection.
 Manager::Playback& Manager::admit(ViewerLink& viewer) {
   const auto& sid = viewer.hints.hints.session_id;
-  auto key = viewers_key(viewer);
+  auto key =
+      key_of(viewer.path.plan, viewer.path.title, sid ? "s" + *sid : "l" + std::to_string(viewer.link));
   if (const auto found = by_key_.find(key); found != by_key_.end()) return *playbacks_.at(found->second);
   auto fresh = std::make_unique<Playback>();
   auto& playback = *fresh;
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -111,7 +111,7 @@
   void head_to_viewer(ViewerLink& viewer, BoxLink& box, const http::ResponseHead& head);
 
   // ---- playbacks ----
-  static std::string viewers_key(const ViewerLink& viewer);
+  static std::string key_of(int plan, const std::string& title, const std::string& who);
   Playback& admit(ViewerLink& viewer);
   bool out_and_paid(const Playback& playback) const;
   void answer_all();
@@ -221,7 +221,7 @@
   void say(std::string event, std::vector<Field> fields = {});
   // Guards against fronts, and viewers turned away together, falling into step: a quarter off, either way.
   Span spread(Span period) { return period * (75 + static_cast<int>(chance_() % 51)) / 100; }
-  http::Fields come_back_soon() { return {{"Retry-After", std::to_string(1 + chance_() % 3)}}; }
+  http::Fields come_back_soon();
   std::int64_t said_id(PlaybackId id) const { return static_cast<std::int64_t>(id); }
 
   FrontTerms terms_;
--- a/src/manager/seats_door.cpp
+++ b/src/manager/seats_door.cpp
@@ -64,7 +64,7 @@
     fetch_keys();
     // The issuer was asked not long ago and did not answer: to wait for the next time would hold this one up.
     if (!gate_.fetching())
-      settle(playback, 503, "rejected: the issuer's keys can't be had now\n", {{"Retry-After", "2"}});
+      settle(playback, 503, "rejected: the issuer's keys can't be had now\n", come_back_soon());
     return;
   }
   if (const auto* bad = std::get_if<entitlement::Bad>(&judged)) {
@@ -227,7 +227,7 @@
       if (!wait_for_keys_.contains(id)) continue;
       wait_for_keys_.erase(id);
     }
-    settle(*found->second, 503, "rejected: the issuer's keys can't be had now\n", {{"Retry-After", "2"}});
+    settle(*found->second, 503, "rejected: the issuer's keys can't be had now\n", come_back_soon());
   }
 }
 
--- a/tests/program/catalogue_test.cpp
+++ b/tests/program/catalogue_test.cpp
@@ -361,6 +361,7 @@
        "changes[0].put.renditions[0].rung"},
       {"{\"changes\":[{\"put_location\":{\"title\":\"a\",\"location\":{\"box\":\"b\",\"state\":\"away\"}}}]}",
        "changes[0].put_location.location.state"},
+      {"{\"changes\":[{\"put\":1e999}]}", "body"},
       {"{\"changes\":[{\"vanish\":\"a\"}]}", "changes[0]"}};
   for (const auto& [text, place] : bad) {
     const auto result = cataloguewire::read_changes(text);
--- a/tests/program/cores_test.cpp
+++ b/tests/program/cores_test.cpp
@@ -67,6 +67,17 @@
   EXPECT_EQ(list.box(2).standing, Standing::ready);
 }
 
+TEST(BoxList, AServiceBegunAnewWithHalfItsFleetIsHeldOnceMoreAndNoLonger) {
+  boxlist::BoxList list({"h"});
+  list.take(1s, list_text(500, {box_text("a"), box_text("b"), box_text("c"), box_text("d"), box_text("e")}));
+  EXPECT_FALSE(list.take(2s, list_text(1, {box_text("a")})).list);
+  EXPECT_FALSE(list.take(33s, list_text(2, {box_text("a")})).remark.empty()) << "held, as any that shrinks so";
+  const auto news = list.take(34s, list_text(3, {box_text("a")}));
+  EXPECT_TRUE(news.remark.empty()) << news.remark;
+  EXPECT_EQ(list.revision(), 3);
+  EXPECT_EQ(list.box(1).standing, Standing::gone);
+}
+
 TEST(BoxList, AServiceThatCatchesUpIsNoneBegunAnew) {
   boxlist::BoxList list({"h"});
   list.take(1s, list_text(500, {box_text("a", "draining")}));
--- a/tests/program/runtime_test.cpp
+++ b/tests/program/runtime_test.cpp
@@ -3,7 +3,6 @@
 
 #include <gtest/gtest.h>
 #include <netinet/in.h>
-#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -166,7 +165,8 @@
 }
 
 // The manager itself on sockets, with nothing behind it: it answers, and stops in order when asked.
-// A dial that can't even be begun is told as one that was refused, and the time that was asked for still comes.
+// A dial that can't even be begun is told as one that was refused, and the time that was asked for still
+// comes.
 TEST(Runtime, ADialThatFailsAtOnceIsToldAndTakesNoTimer) {
   class Dialler : public Core {
    public:
@@ -207,8 +207,8 @@
   }
 };
 
-// Asks, and reads to the end; `pause`: before it reads. How many bytes came.
-std::size_t asks(std::uint16_t port, bool writes_no_more, std::chrono::milliseconds pause) {
+// Asks, and reads to the end. How many bytes came.
+std::size_t asks(std::uint16_t port, bool writes_no_more) {
   const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in place{};
   place.sin_family = AF_INET;
@@ -218,8 +218,6 @@
   if (::connect(socket, reinterpret_cast<const sockaddr*>(&place), sizeof place) == 0 &&
       ::send(socket, "?", 1, 0) == 1) {
     if (writes_no_more) ::shutdown(socket, SHUT_WR);
-    pollfd nothing{-1, 0, 0};
-    ::poll(&nothing, 1, static_cast<int>(pause.count()));
     std::vector<char> bytes(64 * 1024);
     for (ssize_t got = 0; (got = ::recv(socket, bytes.data(), bytes.size(), 0)) > 0;)
       came += static_cast<std::size_t>(got);
@@ -235,8 +233,7 @@
     std::thread viewer;
     {
       Loop loop(core, {{"127.0.0.1", 0}}, {}, "");
-      // A reader that is slower than the time to linger, which begins when all is with the kernel.
-      viewer = std::thread([&, port = loop.port(0)] { came = asks(port, writes_no_more, 700ms); });
+      viewer = std::thread([&, port = loop.port(0)] { came = asks(port, writes_no_more); });
       loop.run();
     }
     viewer.join();
@@ -245,6 +242,48 @@
   }
 }
 
+// A reader that is slower than the time to linger, which begins when all is with the kernel. It sees both
+// ends.
+class SlowReader : public Bounded {
+ public:
+  static constexpr std::size_t size = 16 * 1024 * 1024;
+  std::uint16_t port = 0;
+  std::size_t came = 0;
+  void happened(Span now, const Happening& what, std::vector<Act>& acts) override {
+    if (!std::exchange(dialled_, true)) acts.push_back(Dial{1, "127.0.0.1", port});
+    if (const auto* accepted = std::get_if<Accepted>(&what)) {
+      acts.push_back(Send{accepted->link, std::string(size, 'x')});
+      acts.push_back(Hang{accepted->link, true});
+    }
+    if (const auto* connected = std::get_if<Connected>(&what)) {
+      acts.push_back(Hold{connected->link});
+      read_at_ = now + 700ms;
+      acts.push_back(WakeAt{read_at_});
+    }
+    if (std::holds_alternative<Woken>(what) && read_at_ > 0s && now >= read_at_) {
+      read_at_ = 0s;
+      acts.push_back(Resume{1});
+      acts.push_back(WakeAt{20s});  // the bound again
+    }
+    if (const auto* received = std::get_if<Received>(&what)) came += received->bytes.size();
+    if (std::holds_alternative<HalfClosed>(what) || std::holds_alternative<Ended>(what))
+      acts.push_back(Leave{});
+  }
+
+ private:
+  bool dialled_ = false;
+  Span read_at_{0};
+};
+
+TEST(Runtime, ASlowReaderGetsItsAnswerWhole) {
+  SlowReader core;
+  Loop loop(core, {{"127.0.0.1", 0}}, {}, "");
+  core.port = loop.port(0);
+  loop.run();
+  EXPECT_FALSE(core.gave_up);
+  EXPECT_EQ(core.came, SlowReader::size);
+}
+
 TEST(Runtime, AManagerWithoutBoxesRejectsAndStopsInOrder) {
   class Viewer : public Bounded {
    public:
