--- a/Makefile
+++ b/Makefile
@@ -15,14 +15,14 @@
 
 # As the operators' bench builds it: no packages, the adapter alone.
 adapter:
-	cmake -S . -B build -DCMAKE_BUILD_TYPE=Release -DVIOLETTIDE_PROGRAM=OFF
-	cmake --build build -j$(JOBS)
+	cmake -S . -B build/adapter -DCMAKE_BUILD_TYPE=Release -DVIOLETTIDE_PROGRAM=OFF -DVIOLETTIDE_TESTS=ON
+	cmake --build build/adapter -j$(JOBS)
 
 day: program
 	$(BUILD)/violettide day days/bad-day.star
 
 test: adapter program
-	ctest --test-dir build --output-on-failure -j$(JOBS)
+	ctest --test-dir build/adapter --output-on-failure -j$(JOBS)
 	ctest --test-dir $(BUILD) --output-on-failure -j$(JOBS)
 
 bench: program
--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -1,8 +1,5 @@
 #include "benchlink/link.h"
 
-#include <algorithm>
-#include <cmath>
-
 namespace violettide::benchlink {
 
 namespace {
@@ -12,80 +9,7 @@
   using Visitors::operator()...;
 };
 
-Span micros(std::int64_t value) { return Span(value); }
-
-std::vector<PlanTerms> plans_of(const Pairs& settings) {
-  const auto floors = settings.numbers("FamilyInfo.LowestRung");
-  const auto tops = settings.numbers("FamilyInfo.ClassTop");
-  const auto scales = settings.numbers("FamilyInfo.ScaleByClass");
-  const auto seats = settings.numbers("FamilyInfo.Seats");
-  const auto last_rung = static_cast<int>(settings.numbers("FamilyInfo.RatesKb").size()) - 1;
-  const auto at = [](const std::vector<double>& list, std::size_t i, double otherwise) {
-    return i < list.size() ? list[i] : otherwise;
-  };
-  std::vector<PlanTerms> plans(static_cast<std::size_t>(settings.integer("Classes.count", 0)));
-  for (std::size_t i = 0; i < plans.size(); ++i) {
-    const auto path = "Classes." + std::to_string(i) + ".";
-    const auto effect = settings.text(path + "Idempotency");
-    plans[i].startup_target = micros(settings.integer(path + "Aim", 0));
-    plans[i].pay_at_setup = !effect.empty() && effect != "free";
-    plans[i].revenue = settings.number(path + "Worth", 1);
-    plans[i].rate_scale = at(scales, i, 1);
-    plans[i].floor = static_cast<int>(at(floors, i, 0));
-    plans[i].top = static_cast<int>(at(tops, i, last_rung));
-    plans[i].seats = static_cast<int>(at(seats, i, 0));
-  }
-  return plans;
-}
-
-SiteTerms terms_of(const Pairs& settings) {
-  SiteTerms terms;
-  terms.plans = plans_of(settings);
-  terms.rung_kb = settings.numbers("FamilyInfo.RatesKb");
-  terms.rung_revenue = settings.numbers("FamilyInfo.WorthByRung");
-  terms.kind_streams = settings.numbers("FamilyInfo.KindSlots");
-  const auto weights = settings.text("Weights");
-  terms.weights_told = !weights.empty() && weights != "none";
-  terms.link_kb_per_weight = settings.number("FamilyInfo.KbPerWeight", 0);
-  terms.uplink_kb = settings.number("FamilyInfo.UplinkKb", 0);
-  terms.racks = static_cast<int>(settings.integer("FamilyInfo.Cabinets", 0));
-  terms.cells = std::max(1, static_cast<int>(settings.integer("FamilyInfo.Places", 1)));
-  terms.switch_cost = micros(std::llround(settings.number("FamilyInfo.SwitchCostS", 0) * 1e6));
-  terms.note_lag = micros(settings.integer("FamilyInfo.SeenAfter", 0));
-  terms.fronts = std::max(1, static_cast<int>(settings.integer("Balancers", 1)));
-  terms.own_number = static_cast<int>(settings.integer("Me", 0));
-  terms.cold_time = micros(settings.integer("Rules.Cold", 0));
-  terms.cold_from = settings.number("Rules.ColdFrom", 1);
-  terms.overload_multiple = settings.number("Rules.OverloadFactor", 1);
-  terms.budget_window = micros(settings.integer("Rules.RatioSpan", 0));
-  terms.budget_free = settings.number("Rules.ExtraFree", 0);
-  terms.budget_share = settings.number("Rules.ExtraShare", 0);
-  terms.most_tries = static_cast<int>(settings.integer("Limits.SendCap", 1));
-  if (settings.flag("Limits.RetryAfter")) {
-    terms.longest_come_back = micros(settings.integer("Limits.MaxRetryAfter", 0));
-  }
-  terms.may_probe = settings.flag("Limits.MayProbe");
-  terms.list_on_request = settings.text("Discovery") == "ask";
-  terms.probe_price = settings.number("Prices.Probe", 0);
-  terms.own_hall = static_cast<int>(settings.integer("Locality", 0));
-  terms.crossing_price = settings.number("Prices.CrossZone", 0);
-  return terms;
-}
-
-LoadReport report_of(Fields& fields) {
-  LoadReport report;
-  const auto values = load_values(fields.text("a load report"));
-  const auto take = [&](const char* name) -> std::optional<double> {
-    const auto found = values.find(name);
-    if (found == values.end()) return std::nullopt;
-    return found->second;
-  };
-  report.link_fill = take("x0");
-  if (!report.link_fill) report.link_fill = take("busy");
-  report.uplink_fill = take("x1");
-  report.streams = take("rif");
-  return report;
-}
+LoadReport report_of(Fields& fields) { return load_report(load_values(fields.text("a load report"))); }
 
 Outcome outcome_of(std::string_view code) {
   if (code == "GOOD") return Outcome::served;
@@ -110,7 +34,7 @@
 }  // namespace
 
 Instance::Instance(std::int64_t clock, std::uint64_t seed, const Pairs& settings)
-    : start_(clock), brain_(terms_of(settings), seed) {}
+    : start_(clock), brain_(site_terms(settings), seed) {}
 
 ServerId Instance::server(std::string_view wire_id) {
   const auto [found, fresh] =
--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -18,24 +18,6 @@
   return value;
 }
 
-// Calls `take` for every part of `text` between separators.
-template <typename Take>
-void split(std::string_view text, char separator, Take take) {
-  while (!text.empty()) {
-    const auto cut = text.find(separator);
-    take(text.substr(0, cut));
-    if (cut == std::string_view::npos) return;
-    text.remove_prefix(cut + 1);
-  }
-}
-
-template <typename Number>
-Number value_of(const std::string& path, std::string_view text) {
-  const auto value = parse<Number>(text);
-  if (!value) throw Malformed("setting " + path + "=" + std::string(text) + ": expected a number");
-  return *value;
-}
-
 }  // namespace
 
 Fields::Fields(std::string_view line) : line_(line), left_(line), more_(true) {
@@ -99,50 +81,10 @@
   if (more_) expected("the end of the line");
 }
 
-Pairs::Pairs(std::string_view text) {
-  split(text, ' ', [&](std::string_view pair) {
-    const auto cut = pair.find('=');
-    if (cut == std::string_view::npos) {
-      throw Malformed("setting '" + std::string(pair) + "': expected path=value");
-    }
-    values_.emplace(pair.substr(0, cut), pair.substr(cut + 1));
-  });
-}
-
-std::string Pairs::text(const std::string& path) const {
-  const auto found = values_.find(path);
-  return found == values_.end() || found->second == "-" ? "" : found->second;
-}
-
-double Pairs::number(const std::string& path, double otherwise) const {
-  const auto value = text(path);
-  return value.empty() ? otherwise : value_of<double>(path, value);
-}
-
-std::int64_t Pairs::integer(const std::string& path, std::int64_t otherwise) const {
-  return static_cast<std::int64_t>(std::llround(number(path, static_cast<double>(otherwise))));
-}
-
-bool Pairs::flag(const std::string& path) const {
-  const auto value = text(path);
-  return value == "true" || value == "1";
-}
-
-std::vector<double> Pairs::numbers(const std::string& path) const {
-  std::vector<double> values;
-  split(text(path), ',', [&](std::string_view part) { values.push_back(value_of<double>(path, part)); });
-  return values;
-}
-
 std::map<std::string, double> load_values(std::string_view text) {
   std::map<std::string, double> values;
-  if (text == "-") return values;
-  split(text, ',', [&](std::string_view pair) {
-    const auto cut = pair.find(':');
-    const auto value = cut == std::string_view::npos ? std::nullopt : parse<double>(pair.substr(cut + 1));
-    if (!value) throw Malformed("load report '" + std::string(text) + "': expected name:value pairs");
-    values.emplace(pair.substr(0, cut), *value);
-  });
+  if (text != "-" && !read_figures(text, ',', values))
+    throw Malformed("load report '" + std::string(text) + "': expected name:value pairs");
   return values;
 }
 
--- a/src/benchlink/wire.h
+++ b/src/benchlink/wire.h
@@ -7,7 +7,8 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
-#include <vector>
+
+#include "siteterms/siteterms.h"
 
 namespace violettide::benchlink {
 
@@ -40,21 +41,6 @@
   bool more_ = false;
 };
 
-// path=value pairs of the settings; unknown paths are simply never asked for.
-class Pairs {
- public:
-  explicit Pairs(std::string_view text);
-
-  double number(const std::string& path, double otherwise) const;
-  std::int64_t integer(const std::string& path, std::int64_t otherwise) const;
-  bool flag(const std::string& path) const;
-  std::string text(const std::string& path) const;
-  std::vector<double> numbers(const std::string& path) const;
-
- private:
-  std::map<std::string, std::string> values_;
-};
-
 // name:value pairs of a load report, `-` for none.
 std::map<std::string, double> load_values(std::string_view text);
 
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -44,6 +44,7 @@
 };
 int run_audit(const AuditWords& words);
 int run_check(const std::string& file);
+int run_platform();  // told by GW_NAME, GW_LISTEN and GW_CONFIG
 
 struct CatalogueWords {
   std::string file, other, title, address = "127.0.0.1";
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -34,6 +34,10 @@
   serving->add_option("--seed", serve.seed, "of this manager's chances; drawn if not told");
   serving->callback([&] { result = run_serve(serve); });
 
+  auto* on_platform = app.add_subcommand(
+      "platform", "run a session manager on the operators' platform, as GW_CONFIG and its like tell");
+  on_platform->callback([&] { result = run_platform(); });
+
   StandinWords boxes;
   auto* boxing = app.add_subcommand("boxes", "run a day's stand-in boxes and their list service");
   boxing->add_option("day", boxes.day, "the day's script")->required();
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -28,15 +28,6 @@
   return Span(static_cast<std::int64_t>(static_cast<double>(span.count()) * part));
 }
 
-class ModuleDecider : public Decider {
- public:
-  ModuleDecider(const SiteTerms& terms, std::uint64_t seed) : brain_(terms, seed) {}
-  std::vector<Order> decide(Span now, const Event& event) override { return brain_.handle(now, event); }
-
- private:
-  Brain brain_;
-};
-
 // Fields that end at each hop (RFC 9110, 7.6.1), and those that this hop writes itself.
 bool ends_here(std::string_view name, std::string_view connection) {
   for (const auto own : {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding",
@@ -60,10 +51,6 @@
 
 }  // namespace
 
-std::unique_ptr<Decider> module_decider(const SiteTerms& terms, std::uint64_t seed) {
-  return std::make_unique<ModuleDecider>(terms, seed);
-}
-
 Manager::Manager(FrontTerms terms, std::uint64_t seed, std::string cached_list,
                  std::unique_ptr<Decider> decider)
     : terms_(std::move(terms)),
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -18,6 +18,7 @@
 #include "catalogue/demand.h"
 #include "catalogue/keeper.h"
 #include "cataloguewire/resource.h"
+#include "decider/decider.h"
 #include "entitlement/gate/gate.h"
 #include "entitlement/ledger/ledger.h"
 #include "hints/weighing/weighing.h"
@@ -32,14 +33,6 @@
 
 namespace violettide::manager {
 
-// Who decides: the module in service, a script in tests.
-class Decider {
- public:
-  virtual ~Decider() = default;
-  virtual std::vector<Order> decide(Span now, const Event& event) = 0;
-};
-std::unique_ptr<Decider> module_decider(const SiteTerms& terms, std::uint64_t seed);
-
 // What a manager holds now, for tests, logs and `bench/`.
 struct Held {
   std::size_t viewer_links = 0, box_links = 0, playbacks = 0, timers = 0;
@@ -95,6 +88,7 @@
   void on(const Flushed& what);
   void on(const KeepDone& what);
   void on(const Woken&) {}
+  void on(const Reread&) {}  // it has no file to read again
   void on(const StopAsked&);
   void ring(const Bell& bell);
   void first_moment();
--- /dev/null
+++ b/src/platform/platform.cpp
@@ -0,0 +1,840 @@
+#include "platform/platform.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "siteterms/siteterms.h"
+
+namespace violettide::platform {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Span sweep_every{100ms};
+constexpr Span first_word_limit{2s};    // for a viewer's connection to bring a whole message
+constexpr Span idle_viewer_limit{6s};   // for one that carries nothing; viewers close theirs after 4 s
+constexpr Span sign_wanted_after{2s};   // a server where playbacks play is dialled after such silence
+constexpr Span sign_limit{5500ms};      // and given up after so much, if no dial came up since
+constexpr Span between_signs{500ms};
+constexpr Span retired_stays{1s};       // for what the server says on the old connection meanwhile
+constexpr Span stop_at_least{3s};
+constexpr Span stop_quiet{800ms};       // requests still come for so long after the word
+constexpr std::size_t most_unsent = 256 * 1024;
+constexpr std::size_t description_most = 8 * 1024;
+constexpr std::size_t name_most = 256;
+constexpr std::size_t most_unsaid = 4096;
+constexpr int refused_is_gone = 2;
+
+constexpr unsigned ring_shift = 56;
+
+std::int64_t ms_of(Span span) { return span.count() / 1000; }
+
+bool plain_name(const std::string& text) {
+  if (text.empty() || text.size() > name_most) return false;
+  return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
+}
+
+std::optional<int> whole_figure(const std::string& text, int least, int most) {
+  const auto value = figure(text);
+  if (!value || *value != std::floor(*value) || *value < least || *value > most) return std::nullopt;
+  return static_cast<int>(*value);
+}
+
+Outcome outcome_before_answer(int why) {
+  if (why == cause::full) return Outcome::full;
+  if (why == cause::error) return Outcome::error;
+  if (why == cause::moot) return Outcome::not_sent;
+  return Outcome::reset;
+}
+
+Outcome outcome_after_answer(int why) {
+  if (why == cause::ended) return Outcome::served;
+  if (why == cause::cancelled) return Outcome::cancelled;
+  return Outcome::reset;
+}
+
+template <typename List>
+int place_in(const List& list, const std::string& name) {
+  const auto found = std::find(list.begin(), list.end(), name);
+  return found == list.end() ? 0 : static_cast<int>(found - list.begin());
+}
+
+}  // namespace
+
+Platform::Platform(StartTerms terms, std::unique_ptr<Decider> decider)
+    : terms_(std::move(terms)), decider_(std::move(decider)) {
+  if (!decider_) decider_ = module_decider(terms_.site, terms_.seed);
+  next_test_ = terms_.seed * 0x9E3779B97F4A7C15u;  // far from the viewers' ids, as those are drawn as well
+}
+Platform::~Platform() = default;
+
+Held Platform::held() const {
+  return {viewers_.size(), links_.size(), playbacks_.size(), titles_.size(), wheel_.armed()};
+}
+
+void Platform::handle(Span now, const Happening& what, std::vector<Act>& acts) {
+  now_ = now;
+  acts_ = &acts;
+  if (!std::exchange(begun_, true)) {
+    channel_.connect_to(terms_.channel);
+    take_lists(channel_.take_known(terms_.known), true);
+    terms_.known.clear();
+    arm(sweep_every, Ring::sweep);
+    say("begun", {{"name", terms_.name}, {"servers", static_cast<std::int64_t>(servers_.size())}});
+  }
+  std::vector<std::uint64_t> rung;
+  wheel_.advance(now, rung);
+  for (const auto bell : rung)
+    ring({static_cast<Ring>(bell >> ring_shift), bell & ((std::uint64_t{1} << ring_shift) - 1)});
+  std::visit([this](const auto& happened) { on(happened); }, what);
+  tend_channel();
+  if (const auto next = wheel_.next(); next && *next != woken_for_) {
+    woken_for_ = *next;
+    acts.push_back(WakeAt{*next});
+  }
+}
+
+Wheel<std::uint64_t>::Handle Platform::arm(Span in, Ring ring, std::uint64_t of) {
+  return wheel_.arm(now_ + in, static_cast<std::uint64_t>(ring) << ring_shift | of);
+}
+
+void Platform::ring(const Bell& bell) {
+  switch (bell.ring) {
+    case Ring::module:
+      return feed(TimerRang{static_cast<std::uint32_t>(bell.of)});
+    case Ring::try_limit: {
+      const auto id = static_cast<PlaybackId>(bell.of);
+      auto* playback = find(id);
+      if (!playback || playback->state != Playback::State::trying) return;
+      // A connection that gave no sign since the try was sent may be to a machine that is no more.
+      if (const auto link = links_.find(playback->link); playback->sent && link != links_.end()) {
+        if (link->second.heard_at <= playback->tried_at && !link->second.retired_at) {
+          link->second.retired_at = now_;
+          auto& server = servers_[playback->server];
+          if (server.link == playback->link) server.link = 0;
+        }
+      }
+      return end_try(id, playback->sent ? Outcome::late : Outcome::no_connection, {}, false);
+    }
+    case Ring::dial: {
+      const auto link = links_.find(static_cast<Link>(bell.of));
+      if (link == links_.end() || link->second.up) return;
+      drop_server_link(link->first, Outcome::no_connection);
+      acts_->push_back(Hang{static_cast<Link>(bell.of), false});
+      return;
+    }
+    case Ring::probe:
+      for (auto& [number, link] : links_) {
+        const auto test = std::find_if(link.tests.begin(), link.tests.end(), [&](const auto& one) {
+          return (one.first & ((std::uint64_t{1} << ring_shift) - 1)) == bell.of;
+        });
+        if (test == link.tests.end()) continue;
+        const auto server = test->second;
+        link.tests.erase(test);
+        return feed(ProbeEnded{server, false, {}});
+      }
+      return;
+    case Ring::sweep:
+      arm(sweep_every, Ring::sweep);
+      return sweep();
+    case Ring::channel:
+      return;
+    case Ring::stop:
+      acts_->push_back(Leave{});
+      return;
+  }
+}
+
+void Platform::on(const Woken&) { woken_for_ = Span(-1); }
+
+// Guards against connections that say nothing, or nothing whole, or stay for good: they would hold every
+// descriptor. And against servers that went without a sign while playbacks play there.
+void Platform::sweep() {
+  std::vector<Link> over;
+  for (auto& [link, viewer] : viewers_) {
+    const bool carries = !viewer.open.empty() || viewer.standing > 0;
+    const bool half = !viewer.spoke || viewer.reader.midway();
+    if ((half && now_ - std::max(viewer.since, viewer.heard_at) > first_word_limit) ||
+        (!viewer.spoke && now_ - viewer.since > first_word_limit) ||
+        (!carries && now_ - viewer.heard_at > idle_viewer_limit))
+      over.push_back(link);
+  }
+  for (const auto link : over) {
+    viewer_gone(link);
+    acts_->push_back(Hang{link, true});
+  }
+  over.clear();
+  for (auto& [number, link] : links_) {
+    if (link.retired_at && link.tries.empty() && now_ - *link.retired_at > retired_stays) over.push_back(number);
+  }
+  for (const auto link : over) {
+    drop_server_link(link, Outcome::reset);
+    acts_->push_back(Hang{link, true});
+  }
+  for (ServerId id = 0; id < servers_.size(); ++id) {
+    if (!servers_[id].playing.empty() || !servers_[id].unsaid.empty()) care_for(id);
+  }
+  if (!stop_asked_ || now_ - *stop_asked_ < stop_quiet) return;
+  const bool open = std::any_of(playbacks_.begin(), playbacks_.end(), [](const auto& one) {
+    return one.second.state != Playback::State::playing;
+  });
+  if (!open && playbacks_.empty()) acts_->push_back(Leave{});
+}
+
+void Platform::on(const StopAsked&) {
+  if (stop_asked_) return;
+  stop_asked_ = now_;
+  Span longest = stop_at_least;
+  for (const auto abandon : terms_.abandon) longest = std::max(longest, abandon);
+  arm(longest + stop_quiet - 200ms, Ring::stop);
+  say("stopping", {{"playbacks", static_cast<std::int64_t>(playbacks_.size())}});
+}
+
+void Platform::on(const Reread& what) {
+  auto read = read_start(what.text);
+  if (const auto* fault = std::get_if<StartFault>(&read))
+    return say("reread_passed_over", {{"cause", fault->cause}});
+  const auto& terms = std::get<StartTerms>(read);
+  take_lists(channel_.take_known(terms.known), false);
+  channel_.connect_to(terms.channel);
+  say("reread", {{"channel", terms.channel->address}, {"last", channel_.last()}});
+}
+
+// ---- connections ----
+
+void Platform::on(const Accepted& what) {
+  if (viewers_.size() >= most_viewers()) make_place();
+  if (viewers_.size() >= most_viewers()) {
+    acts_->push_back(Hang{what.link, false});
+    return;
+  }
+  auto& viewer = viewers_[what.link];
+  viewer.since = viewer.heard_at = now_;
+}
+
+// Usual viewers take a third at most; the rest of the descriptors are the servers' and the channel's.
+std::size_t Platform::most_viewers() const { return terms_.sockets / 2; }
+
+// Guards against floods of connections shutting the usual viewers out: the silent ones go first, then
+// those that carry nothing, the longest unheard of each.
+void Platform::make_place() {
+  auto worst = viewers_.end();
+  const auto rank = [](const ViewerLink& viewer) { return std::pair(viewer.spoke, viewer.heard_at); };
+  for (auto it = viewers_.begin(); it != viewers_.end(); ++it) {
+    if (!it->second.open.empty() || it->second.standing > 0) continue;
+    if (worst == viewers_.end() || std::pair(rank(it->second), it->first) < std::pair(rank(worst->second), worst->first))
+      worst = it;
+  }
+  if (worst == viewers_.end()) return;
+  const auto link = worst->first;
+  viewer_gone(link);
+  acts_->push_back(Hang{link, false});
+}
+
+void Platform::on(const Connected& what) {
+  if (what.link == channel_link_) {
+    acts_->push_back(Send{what.link, channel_.connected(now_)});
+    return;
+  }
+  const auto found = links_.find(what.link);
+  if (found == links_.end()) return;
+  auto& link = found->second;
+  auto& server = servers_[link.server];
+  link.up = true;
+  link.since = link.heard_at = now_;
+  answered_sign(link);
+  if (server.dialled == what.link) server.dialled = 0;
+  if (server.link && server.link != what.link) {
+    if (const auto old = links_.find(server.link); old != links_.end()) old->second.retired_at = now_;
+  }
+  server.link = what.link;
+  for (auto& bytes : server.unsaid) to_server(what.link, std::move(bytes));
+  server.unsaid.clear();
+  for (const auto id : server.playing) {
+    auto& playback = playbacks_.at(id);
+    if (std::exchange(playback.rung_unsaid, false)) to_server(what.link, rung_bytes(playback.call, playback.rung));
+  }
+  for (const auto& [test, of] : link.tests) to_server(what.link, test_bytes(test));
+  for (const auto id : link.tries) send_try(id, playbacks_.at(id));
+}
+
+void Platform::on(const Received& what) {
+  if (what.link == channel_link_) {
+    const auto news = channel_.received(now_, what.bytes);
+    return take_lists(news, false);
+  }
+  if (const auto found = viewers_.find(what.link); found != viewers_.end()) {
+    found->second.heard_at = now_;
+    std::vector<std::variant<ViewerMessage, Unreadable>> messages;
+    found->second.reader.take(what.bytes, messages);
+    for (auto& message : messages) {
+      const auto still = viewers_.find(what.link);
+      if (still == viewers_.end()) return;
+      if (const auto* unreadable = std::get_if<Unreadable>(&message))
+        return turn_off(what.link, unreadable->call, unreadable->cause);
+      still->second.spoke = true;
+      viewer_says(what.link, still->second, std::get<ViewerMessage>(message));
+    }
+    return;
+  }
+  const auto found = links_.find(what.link);
+  if (found == links_.end()) return;
+  found->second.heard_at = now_;
+  answered_sign(found->second);
+  std::vector<ServerMessage> messages;
+  const auto unreadable = found->second.reader.take(what.bytes, messages);
+  for (auto& message : messages) {
+    if (!links_.contains(what.link)) return;
+    server_says(what.link, message);
+  }
+  if (!unreadable || !links_.contains(what.link)) return;
+  say("unreadable", {{"server", servers_[links_.at(what.link).server].name}, {"cause", *unreadable}});
+  drop_server_link(what.link, Outcome::reset);
+  acts_->push_back(Hang{what.link, false});
+}
+
+void Platform::on(const HalfClosed& what) {
+  acts_->push_back(Hang{what.link, true});
+  on(Ended{what.link, Ending::finished});
+}
+
+void Platform::on(const Ended& what) {
+  if (what.link == channel_link_) {
+    channel_link_ = 0;
+    return channel_.ended(now_);
+  }
+  if (viewers_.contains(what.link)) return viewer_gone(what.link);
+  const auto found = links_.find(what.link);
+  if (found == links_.end()) return;
+  const auto id = found->second.server;
+  const bool refused = what.how == Ending::refused && !found->second.up;
+  auto& server = servers_[id];
+  drop_server_link(what.link, Outcome::reset);
+  if (refused) {
+    if (server.refused++ == 0) server.first_refused = now_;
+  }
+  if (!server.playing.empty()) care_for(id);
+}
+
+void Platform::on(const Flushed& what) {
+  if (const auto found = viewers_.find(what.link); found != viewers_.end()) found->second.unsent = 0;
+}
+
+// ---- viewers ----
+
+void Platform::to_viewer(Link link, std::string line) {
+  const auto found = viewers_.find(link);
+  if (found == viewers_.end()) return;
+  found->second.unsent += line.size();
+  // Guards against a reader that reads nothing.
+  if (found->second.unsent > most_unsent) {
+    viewer_gone(link);
+    acts_->push_back(Hang{link, false});
+    return;
+  }
+  acts_->push_back(Send{link, std::move(line)});
+}
+
+void Platform::viewer_says(Link link, ViewerLink& viewer, ViewerMessage& message) {
+  switch (message.kind) {
+    case ViewerMessage::Kind::offer:
+      return take_offer(link, viewer, message);
+    case ViewerMessage::Kind::end:
+      return take_end(link, message.call);
+    case ViewerMessage::Kind::test:
+      return to_viewer(link, tested_line(message.call, !stop_asked_));
+    case ViewerMessage::Kind::ended:
+      return;
+    case ViewerMessage::Kind::other:
+      return turn_off(link, message.call, "op: expected offer, end, ended or test");
+  }
+}
+
+// What can't be served is answered, if it has an id, and its connection ended.
+void Platform::turn_off(Link link, std::optional<CallId> call, const std::string&) {
+  if (call) to_viewer(link, end_line(*call, cause::unusable));
+  if (!viewers_.contains(link)) return;
+  viewer_gone(link);
+  acts_->push_back(Hang{link, true});
+}
+
+std::optional<std::string> Platform::read_offer(const ViewerMessage& message, Request& request,
+                                                std::string& at) const {
+  const auto field = [&](const char* name) {
+    const auto found = message.fields.find(name);
+    return found == message.fields.end() ? std::string() : found->second;
+  };
+  const auto plan = std::find(terms_.plans.begin(), terms_.plans.end(), field("class"));
+  if (plan == terms_.plans.end()) return "with.class: no such plan";
+  request.plan = static_cast<int>(plan - terms_.plans.begin());
+  if (!plain_name(field("key"))) return "with.key: expected a title";
+  if (message.fields.contains("hint")) {
+    const auto hint = figure(field("hint"));
+    if (!hint || *hint > 1e10) return "with.hint: expected milliseconds";
+    request.length = Span(static_cast<std::int64_t>(*hint * 1000));
+  }
+  std::map<std::string, std::string> extras;
+  const auto text = field("extras");
+  for (std::size_t from = 0; from < text.size();) {
+    const auto end = std::min(text.find(';', from), text.size());
+    const auto part = text.substr(from, end - from);
+    const auto colon = part.find(':');
+    if (colon == std::string::npos) return "with.extras: expected name:value";
+    extras[part.substr(0, colon)] = part.substr(colon + 1);
+    from = end + 1;
+  }
+  const auto home = whole_figure(extras["home"], 0, std::max(0, terms_.site.cells - 1));
+  const auto copies = whole_figure(extras["copies"], 1, std::max(1, terms_.site.cells));
+  const auto top = whole_figure(extras["top"], 0, static_cast<int>(terms_.site.rung_kb.size()) - 1);
+  if (!home || !copies || !top) return "with.extras: expected home, copies and top within their bounds";
+  request.first_cell = *home;
+  request.holders = *copies;
+  request.top = *top;
+  at = extras["at"];
+  if (!at.empty() && !plain_name(at)) return "with.extras.at: expected a video server";
+  // What plays already waits for nothing, whatever is left of its time.
+  const auto left = figure(field("left"));
+  const auto most_ms = at.empty() ? static_cast<double>(terms_.abandon[request.plan].count()) / 1000 : 1e12;
+  if (!left || *left <= 0 || *left > most_ms + 1) return "with.left: expected milliseconds";
+  request.abandon_at = now_ + Span(static_cast<std::int64_t>(*left * 1000));
+  if (!message.description || message.description->empty() || message.description->size() > description_most)
+    return "desc: expected a description";
+  return std::nullopt;
+}
+
+void Platform::take_offer(Link link, ViewerLink& viewer, ViewerMessage& message) {
+  Request request;
+  std::string at;
+  const auto known = calls_.find(message.call);
+  if (const auto fault = read_offer(message, request, at)) return turn_off(link, message.call, *fault);
+  if (known != calls_.end()) {
+    auto& playback = playbacks_.at(known->second);
+    if (!at.empty()) {  // told again what stands: from now on by this connection
+      if (playback.state != Playback::State::playing || playback.viewer == link) return;
+      if (const auto old = viewers_.find(playback.viewer); old != viewers_.end()) --old->second.standing;
+      playback.viewer = link;
+      ++viewer.standing;
+      return;
+    }
+    // Guards against two requests under one number: whoever sends them gets one answer, and no playback.
+    if (playback.viewer == link && playback.state != Playback::State::playing) {
+      const auto id = known->second;
+      withdraw(id);
+    }
+    return turn_off(link, message.call, "call: in use");
+  }
+  const auto id = admit(message.call, link, request, message.fields.at("key"));
+  request.playback = id;
+  request.title = title(message.fields.at("key"));
+  auto& playback = playbacks_.at(id);
+  if (at.empty()) {
+    playback.description = std::move(*message.description);
+    viewer.open.insert(id);
+    return feed(request);
+  }
+  const auto server = server_named(at);
+  playback.state = Playback::State::playing;
+  playback.server = server;
+  playback.rung = terms_.site.plans[request.plan].floor;
+  if (servers_[server].playing.empty()) servers_[server].heard_at = now_;
+  servers_[server].playing.insert(id);
+  ++viewer.standing;
+  last_viewer_ = link;
+  feed(CarriedOver{request, server});
+  care_for(server);
+}
+
+void Platform::take_end(Link link, CallId call) {
+  const auto known = calls_.find(call);
+  to_viewer(link, ended_line(call));
+  if (known == calls_.end()) return;
+  const auto id = known->second;
+  if (playbacks_.at(id).state != Playback::State::playing) return withdraw(id);
+  say_to(playbacks_.at(id).server, release_bytes(call, cause::ended));
+  stop_playing(id, Outcome::cancelled, {}, std::nullopt);
+}
+
+// The viewer waits no more: no answer is owed, and a try that is out is given up.
+void Platform::withdraw(PlaybackId id) {
+  auto* playback = find(id);
+  if (!playback) return;
+  feed(Withdrawn{id});
+  playback = find(id);
+  if (!playback) return;
+  if (playback->state == Playback::State::trying) return end_try(id, Outcome::cancelled, {}, true);
+  forget(id);
+}
+
+void Platform::viewer_gone(Link link) {
+  const auto found = viewers_.find(link);
+  if (found == viewers_.end()) return;
+  const auto open = std::move(found->second.open);
+  const bool had = found->second.standing > 0;
+  viewers_.erase(found);
+  if (last_viewer_ == link) last_viewer_ = 0;
+  for (const auto id : open) withdraw(id);
+  if (!had) return;
+  for (auto& [id, playback] : playbacks_) {
+    if (playback.viewer == link) playback.viewer = 0;  // plays on: no connection owns it
+  }
+}
+
+// ---- servers ----
+
+ServerId Platform::server_named(const std::string& name) {
+  const auto [found, fresh] = server_names_.try_emplace(name, static_cast<ServerId>(servers_.size()));
+  if (fresh) {
+    servers_.emplace_back();
+    servers_.back().name = name;
+  }
+  return found->second;
+}
+
+Link Platform::dial(ServerId id) {
+  auto& server = servers_[id];
+  if (server.dialled) return server.dialled;
+  if (server.place.port == 0) return 0;
+  const auto link = next_link_++;
+  auto& made = links_[link];
+  made.server = id;
+  made.heard_at = made.since = now_;
+  server.dialled = link;
+  acts_->push_back(Dial{link, server.place.address, server.place.port});
+  arm(terms_.dial_limit, Ring::dial, link);
+  return link;
+}
+
+Link Platform::link_for(ServerId id) {
+  const auto found = links_.find(servers_[id].link);
+  if (found != links_.end() && found->second.tries.size() < terms_.tries_per_link) return found->first;
+  return dial(id);
+}
+
+void Platform::to_server(Link link, std::string bytes) { acts_->push_back(Send{link, std::move(bytes)}); }
+
+void Platform::say_to(ServerId id, std::string bytes) {
+  auto& server = servers_[id];
+  if (server.link) return to_server(server.link, std::move(bytes));
+  if (server.unsaid.size() < most_unsaid) server.unsaid.push_back(std::move(bytes));
+  care_for(id);
+}
+
+void Platform::answered_sign(ServerLink& link) {
+  auto& server = servers_[link.server];
+  server.heard_at = now_;
+  server.refused = 0;
+}
+
+// A server where playbacks play is wanted on an open connection, on which it says how they end; after a
+// while without a sign a new one is asked for, as those to a machine that vanished stay open.
+void Platform::care_for(ServerId id) {
+  auto& server = servers_[id];
+  const bool silent = now_ - server.heard_at > sign_wanted_after;
+  if (server.link && !silent) return;
+  const bool lost = now_ - server.heard_at > sign_limit;
+  const bool refused = server.refused >= refused_is_gone && now_ - server.first_refused >= between_signs / 2;
+  const bool replaced = server.standing == Standing::gone && !server.link && server.place.port != 0;
+  if (lost || refused || replaced)
+    return cut_all(id, lost ? "no sign" : refused ? "refused" : "gone");
+  if (server.dialled || now_ < server.next_dial) return;
+  server.next_dial = now_ + between_signs;
+  dial(id);
+}
+
+void Platform::cut_all(ServerId id, const char* cause) {
+  auto& server = servers_[id];
+  say("cut", {{"server", server.name}, {"cause", cause}, {"playbacks", static_cast<std::int64_t>(server.playing.size())}});
+  server.unsaid.clear();
+  server.refused = 0;
+  const auto playing = server.playing;
+  for (const auto id : playing) stop_playing(id, Outcome::reset, {}, cause::reset);
+}
+
+void Platform::drop_server_link(Link number, Outcome of_sent) {
+  const auto found = links_.find(number);
+  if (found == links_.end()) return;
+  auto link = std::move(found->second);
+  links_.erase(found);
+  auto& server = servers_[link.server];
+  if (server.link == number) server.link = 0;
+  if (server.dialled == number) server.dialled = 0;
+  for (const auto id : link.tries) {
+    auto* playback = find(id);
+    if (!playback || playback->state != Playback::State::trying || playback->link != number) continue;
+    playback->link = 0;  // given up with its connection
+    end_try(id, playback->sent ? of_sent : Outcome::no_connection, {}, false);
+  }
+  for (const auto& [test, of] : link.tests) feed(ProbeEnded{of, false, {}});
+}
+
+void Platform::server_says(Link number, ServerMessage& message) {
+  auto& link = links_.at(number);
+  const auto id = link.server;
+  if (message.kind == ServerMessage::Kind::tested) {
+    const auto test = link.tests.find(message.call);
+    if (test == link.tests.end()) return;
+    link.tests.erase(test);
+    return feed(ProbeEnded{id, message.cause.value_or(0) == 1,
+                           message.load ? load_report(*message.load) : LoadReport{}});
+  }
+  if (message.kind == ServerMessage::Kind::release) return release_heard(number, message);
+  const auto known = calls_.find(message.call);
+  if (known == calls_.end()) return;
+  auto& playback = playbacks_.at(known->second);
+  if (playback.server != id || playback.state == Playback::State::waiting) return;
+  if (message.kind == ServerMessage::Kind::note) {
+    Note note;
+    note.playback = known->second;
+    note.server = id;
+    if (message.note == "kept_up")
+      note.about = Note::About::share;
+    else if (message.note == "tier")
+      note.about = Note::About::rung;
+    else if (message.note == "wire")
+      note.about = Note::About::link_fill;
+    else if (message.note == "trunk")
+      note.about = Note::About::uplink_fill;
+    else
+      return;
+    if (!message.value) return;
+    note.value = *message.value;
+    return feed(note);
+  }
+  if (message.kind != ServerMessage::Kind::accept) return;
+  if (playback.state != Playback::State::trying || playback.link != number || !playback.sent) return;
+  link.tries.erase(known->second);
+  playback.state = Playback::State::playing;
+  playback.link = 0;
+  wheel_.disarm(playback.limit);
+  servers_[id].playing.insert(known->second);
+  std::string().swap(playback.description);
+  if (const auto viewer = viewers_.find(playback.viewer); viewer != viewers_.end()) {
+    viewer->second.open.erase(known->second);
+    ++viewer->second.standing;
+    last_viewer_ = playback.viewer;
+    to_viewer(playback.viewer, accept_line(message.call, *message.description));
+  }
+  feed(Started{known->second, id, now_ - playback.tried_at});
+}
+
+void Platform::release_heard(Link number, ServerMessage& message) {
+  const auto id = links_.at(number).server;
+  to_server(number, released_bytes(message.call));
+  const auto known = calls_.find(message.call);
+  if (known == calls_.end()) return;
+  auto& playback = playbacks_.at(known->second);
+  if (playback.server != id) return;
+  const auto load = message.load ? load_report(*message.load) : LoadReport{};
+  const int why = *message.cause;
+  if (playback.state == Playback::State::trying && playback.link == number && playback.sent) {
+    links_.at(number).tries.erase(known->second);
+    playback.link = 0;
+    return end_try(known->second, outcome_before_answer(why), load, false);
+  }
+  if (playback.state != Playback::State::playing) return;
+  const auto outcome = outcome_after_answer(why);
+  stop_playing(known->second, outcome, load,
+               outcome == Outcome::cancelled ? std::nullopt : std::optional<int>(why));
+}
+
+// ---- playbacks ----
+
+Platform::Playback* Platform::find(PlaybackId id) {
+  const auto found = playbacks_.find(id);
+  return found == playbacks_.end() ? nullptr : &found->second;
+}
+
+PlaybackId Platform::admit(CallId call, Link viewer, const Request& request, std::string title) {
+  const auto id = next_playback_++;
+  auto& playback = playbacks_[id];
+  playback.call = call;
+  playback.viewer = viewer;
+  playback.plan = request.plan;
+  playback.title = std::move(title);
+  calls_[call] = id;
+  return id;
+}
+
+TitleId Platform::title(const std::string& name) {
+  auto [found, fresh] = titles_.try_emplace(name);
+  if (fresh && !free_titles_.empty()) {
+    found->second.id = free_titles_.back();
+    free_titles_.pop_back();
+  } else if (fresh) {
+    found->second.id = next_title_++;
+  }
+  ++found->second.uses;
+  return found->second.id;
+}
+
+void Platform::forget(PlaybackId id) {
+  const auto found = playbacks_.find(id);
+  if (found == playbacks_.end()) return;
+  auto& playback = found->second;
+  if (const auto viewer = viewers_.find(playback.viewer); viewer != viewers_.end()) {
+    viewer->second.open.erase(id);
+    if (playback.state == Playback::State::playing) --viewer->second.standing;
+  }
+  if (playback.state == Playback::State::playing) servers_[playback.server].playing.erase(id);
+  if (const auto title = titles_.find(playback.title); title != titles_.end() && --title->second.uses == 0) {
+    free_titles_.push_back(title->second.id);
+    titles_.erase(title);
+  }
+  calls_.erase(playback.call);
+  playbacks_.erase(found);
+}
+
+void Platform::start_try(const SetUp& order) {
+  auto* playback = find(order.playback);
+  // Guards against the module waiting for good for a try of a viewer who left while it was decided.
+  if (!playback || playback->state != Playback::State::waiting)
+    return feed(TryEnded{order.playback, order.server, Outcome::not_sent, true, {}});
+  playback->state = Playback::State::trying;
+  playback->server = order.server;
+  playback->sent = false;
+  playback->tried_at = now_;
+  playback->try_until = now_ + order.time_limit;
+  playback->link = link_for(order.server);
+  if (playback->link == 0) return end_try(order.playback, Outcome::no_connection, {}, false);
+  playback->limit = arm(order.time_limit, Ring::try_limit, order.playback);
+  auto& link = links_.at(playback->link);
+  link.tries.insert(order.playback);
+  if (link.up) send_try(order.playback, *playback);
+}
+
+void Platform::send_try(PlaybackId, Playback& playback) {
+  const auto wait = std::max<std::int64_t>(1, ms_of(playback.try_until - now_));
+  playback.sent = true;
+  to_server(playback.link, set_up_bytes({playback.call, terms_.plans[playback.plan], playback.title,
+                                         playback.description, wait, playback.rung}));
+}
+
+// A try ends before its answer. What may still run is given up by a release on its own connection.
+void Platform::end_try(PlaybackId id, Outcome outcome, const LoadReport& load, bool over) {
+  auto& playback = playbacks_.at(id);
+  wheel_.disarm(playback.limit);
+  if (const auto link = links_.find(playback.link); link != links_.end()) {
+    link->second.tries.erase(id);
+    if (playback.sent) to_server(playback.link, release_bytes(playback.call, cause::ended));
+  }
+  playback.link = 0;
+  playback.state = Playback::State::waiting;
+  const auto server = playback.server;
+  if (over) forget(id);
+  feed(TryEnded{id, server, outcome, over, load});
+}
+
+// A playback that plays is over; `tell`: the cause that its viewer is told, if one is owed.
+void Platform::stop_playing(PlaybackId id, Outcome outcome, const LoadReport& load, std::optional<int> tell) {
+  auto& playback = playbacks_.at(id);
+  if (tell) to_viewer(playback.viewer ? playback.viewer : last_viewer_, end_line(playback.call, *tell));
+  const auto server = playback.server;
+  forget(id);
+  feed(TryEnded{id, server, outcome, true, load});
+}
+
+void Platform::feed(Event event) {
+  events_.push_back(std::move(event));
+  if (std::exchange(deciding_, true)) return;
+  while (!events_.empty()) {
+    const auto next = std::move(events_.front());
+    events_.pop_front();
+    for (const auto& order : decider_->decide(now_, next)) carry_out(order);
+  }
+  deciding_ = false;
+}
+
+void Platform::carry_out(const Order& order) {
+  const auto final_answer = [&](PlaybackId id, int why, Span come_back) {
+    auto* playback = find(id);
+    if (!playback || playback->state != Playback::State::waiting) return;
+    const auto viewer = playback->viewer;
+    const auto call = playback->call;
+    forget(id);
+    to_viewer(viewer, end_line(call, why, ms_of(come_back)));
+  };
+  std::visit(Visit{
+                 [&](const SetUp& o) { start_try(o); },
+                 [&](const SetRung& o) {
+                   auto* playback = find(o.playback);
+                   if (!playback) return;
+                   playback->rung = o.rung;
+                   if (playback->state != Playback::State::playing) return;
+                   const auto link = servers_[playback->server].link;
+                   playback->rung_unsaid = link == 0;
+                   if (link) to_server(link, rung_bytes(playback->call, o.rung));
+                 },
+                 [&](const Reject& o) { final_answer(o.playback, cause::rejected, o.come_back); },
+                 [&](const Abort& o) { final_answer(o.playback, cause::reset, Span(0)); },
+                 [&](const Probe& o) {
+                   const auto number = link_for(o.server);
+                   if (number == 0) return feed(ProbeEnded{o.server, false, {}});
+                   const auto test = next_test_++;
+                   auto& link = links_.at(number);
+                   link.tests[test] = o.server;
+                   arm(terms_.dial_limit, Ring::probe, test & ((std::uint64_t{1} << ring_shift) - 1));
+                   if (link.up) to_server(number, test_bytes(test));
+                 },
+                 [&](const SetTimer& o) { arm(o.delay, Ring::module, o.token); },
+                 [&](const FollowList&) {},  // the channel is followed in any case
+             },
+             order);
+}
+
+// ---- the list ----
+
+void Platform::take_lists(const std::vector<ListNews>& lists, bool at_start) {
+  for (const auto& news : lists) {
+    ServerList list;
+    list.reach = !news.whole ? ServerList::Reach::changes
+                 : at_start  ? ServerList::Reach::cached
+                             : ServerList::Reach::complete;
+    if (news.whole) {
+      for (auto& server : servers_) server.standing = Standing::gone;
+    }
+    for (const auto& told : news.servers) {
+      const auto id = server_named(told.name);
+      auto& server = servers_[id];
+      const bool anew = told.started_ms > server.started_ms && server.started_ms != 0;
+      const bool moved = told.place.port != 0 && server.place.port != 0 && told.place != server.place;
+      server.standing = told.standing;
+      if (told.place.port != 0) server.place = told.place;
+      if (told.started_ms != 0) server.started_ms = told.started_ms;
+      if ((anew || moved) && server.link) {  // to a process that is no more
+        links_.at(server.link).retired_at = now_;
+        server.link = 0;
+      }
+      ServerEntry entry;
+      entry.server = id;
+      entry.standing = told.standing;
+      entry.kind = place_in(terms_.kinds, told.kind);
+      entry.cell = told.cell;
+      entry.hall = place_in(terms_.halls, told.hall);
+      entry.weight = told.weight;
+      if (told.started_ms != 0) entry.started = Span(told.started_ms * 1000) - terms_.wall_at_zero;
+      list.entries.push_back(entry);
+      if (anew) cut_all(id, "started anew");
+    }
+    feed(list);
+  }
+}
+
+void Platform::tend_channel() {
+  for (int turn = 0; turn < 3; ++turn) {
+    const auto wish = channel_.wish(now_);
+    if (wish == Channel::Wish::none) break;
+    if (wish == Channel::Wish::hang) {
+      say("channel_given_up", {{"cause", channel_.remark()}});
+      acts_->push_back(Hang{channel_link_, false});
+      channel_link_ = 0;
+      channel_.ended(now_);
+      continue;
+    }
+    channel_link_ = next_link_++;
+    acts_->push_back(Dial{channel_link_, channel_.place()->address, channel_.place()->port});
+    channel_.dialled(now_);
+  }
+}
+
+}  // namespace violettide::platform
--- /dev/null
+++ b/src/platform/platform.h
@@ -0,0 +1,185 @@
+// A session manager on the operators' platform: viewers' set-ups and servers' answers in, orders to
+// sockets out. What happened is told to the module and what the module decides is done; this core adds
+// what only sockets bring: whose message it is, how a try ended, whether a server still gives a sign.
+// Free of I/O and clock.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "decider/decider.h"
+#include "platform/channel/channel.h"
+#include "platform/start.h"
+#include "platform/wire/server.h"
+#include "platform/wire/viewer.h"
+#include "seams/seams.h"
+#include "wheel/wheel.h"
+
+namespace violettide::platform {
+
+// What it holds now, for tests and logs.
+struct Held {
+  std::size_t viewer_links = 0, server_links = 0, playbacks = 0, titles = 0, timers = 0;
+};
+
+class Platform : public Core {
+ public:
+  // `decider`: the module, if none is given.
+  Platform(StartTerms terms, std::unique_ptr<Decider> decider);
+  ~Platform() override;
+  void handle(Span now, const Happening& what, std::vector<Act>& acts) override;
+  Held held() const;
+
+ private:
+  struct ViewerLink {
+    ViewerReader reader;
+    Span since{0};
+    Span heard_at{0};
+    bool spoke = false;         // a message that could be read
+    std::set<PlaybackId> open;  // set-ups without an answer
+    std::size_t standing = 0;
+    std::size_t unsent = 0;
+  };
+  struct ServerLink {
+    ServerId server = 0;
+    ServerReader reader;
+    bool up = false;
+    Span heard_at{0};
+    Span since{0};
+    std::optional<Span> retired_at;  // takes no new set-ups
+    std::set<PlaybackId> tries;      // sent, or to be sent once it is up
+    std::map<CallId, ServerId> tests;
+  };
+  struct VideoServer {
+    std::string name;
+    Place place;
+    Standing standing = Standing::gone;
+    std::int64_t started_ms = 0;
+    Link link = 0;  // the one that takes new set-ups; 0: none
+    Link dialled = 0;
+    std::set<PlaybackId> playing;
+    std::vector<std::string> unsaid;  // releases for the next connection
+    Span heard_at{0};
+    Span next_dial{0};
+    int refused = 0;  // in a row
+    Span first_refused{0};
+  };
+  struct Playback {
+    enum class State { waiting, trying, playing };
+    CallId call = 0;
+    State state = State::waiting;
+    Link viewer = 0;
+    int plan = 0;
+    std::string title, description;
+    ServerId server = 0;
+    Link link = 0;
+    bool sent = false;
+    Span tried_at{0};
+    Span try_until{0};
+    int rung = 0;
+    bool rung_unsaid = false;
+    Wheel<std::uint64_t>::Handle limit;
+  };
+  enum class Ring { module, try_limit, dial, probe, sweep, channel, stop };
+  struct Bell {
+    Ring ring = Ring::module;
+    std::uint64_t of = 0;
+  };
+  struct Title {
+    TitleId id = 0;
+    int uses = 0;
+  };
+
+  void on(const Accepted& what);
+  void on(const Connected& what);
+  void on(const Received& what);
+  void on(const HalfClosed& what);
+  void on(const Ended& what);
+  void on(const Flushed& what);
+  void on(const KeepDone&) {}
+  void on(const Woken&);
+  void on(const StopAsked&);
+  void on(const Reread& what);
+  void ring(const Bell& bell);
+  void sweep();
+
+  // ---- viewers ----
+  void viewer_says(Link link, ViewerLink& viewer, ViewerMessage& message);
+  void take_offer(Link link, ViewerLink& viewer, ViewerMessage& message);
+  std::optional<std::string> read_offer(const ViewerMessage& message, Request& request, std::string& at) const;
+  void turn_off(Link link, std::optional<CallId> call, const std::string& cause);
+  void take_end(Link link, CallId call);
+  void withdraw(PlaybackId id);
+  void viewer_gone(Link link);
+  void make_place();
+  void to_viewer(Link link, std::string line);
+
+  // ---- servers ----
+  ServerId server_named(const std::string& name);
+  Link dial(ServerId id);
+  Link link_for(ServerId id);
+  void server_says(Link link, ServerMessage& message);
+  void release_heard(Link link, ServerMessage& message);
+  void drop_server_link(Link link, Outcome of_sent);
+  void send_try(PlaybackId id, Playback& playback);
+  void to_server(Link link, std::string bytes);
+  void say_to(ServerId id, std::string bytes);
+  void care_for(ServerId id);
+  void cut_all(ServerId id, const char* cause);
+  void answered_sign(ServerLink& link);
+
+  // ---- playbacks ----
+  Playback* find(PlaybackId id);
+  PlaybackId admit(CallId call, Link viewer, const Request& request, std::string title);
+  TitleId title(const std::string& name);
+  void start_try(const SetUp& order);
+  void end_try(PlaybackId id, Outcome outcome, const LoadReport& load, bool over);
+  void stop_playing(PlaybackId id, Outcome outcome, const LoadReport& load, std::optional<int> tell);
+  void leave_server(PlaybackId id, Playback& playback);
+  void forget(PlaybackId id);
+  void feed(Event event);
+  void carry_out(const Order& order);
+
+  // ---- the list ----
+  void take_lists(const std::vector<ListNews>& lists, bool at_start);
+  void tend_channel();
+
+  Wheel<std::uint64_t>::Handle arm(Span in, Ring ring, std::uint64_t of = 0);
+  void say(std::string event, std::vector<Field> fields) { acts_->push_back(Say{std::move(event), std::move(fields)}); }
+  std::size_t most_viewers() const;
+
+  StartTerms terms_;
+  std::unique_ptr<Decider> decider_;
+  std::vector<Act>* acts_ = nullptr;
+  Span now_{0};
+  bool begun_ = false;
+  std::optional<Span> stop_asked_;
+  Wheel<std::uint64_t> wheel_;
+  Span woken_for_{-1};
+  std::deque<Event> events_;
+  bool deciding_ = false;
+
+  std::unordered_map<Link, ViewerLink> viewers_;
+  Link last_viewer_ = 0;  // whose set-up played last
+  std::unordered_map<Link, ServerLink> links_;
+  Link next_link_ = 1;
+  std::deque<VideoServer> servers_;
+  std::map<std::string, ServerId> server_names_;
+  std::unordered_map<PlaybackId, Playback> playbacks_;
+  std::unordered_map<CallId, PlaybackId> calls_;
+  PlaybackId next_playback_ = 0;
+  std::map<std::string, Title> titles_;
+  std::vector<TitleId> free_titles_;
+  TitleId next_title_ = 0;
+  CallId next_test_ = 0;
+  Channel channel_;
+  Link channel_link_ = 0;
+};
+
+}  // namespace violettide::platform
--- /dev/null
+++ b/src/platform/start.cpp
@@ -0,0 +1,84 @@
+#include "platform/start.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "siteterms/siteterms.h"
+
+namespace violettide::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string plain(const Json& value) {
+  if (value.is_string()) return value.get<std::string>();
+  return value.is_null() ? "-" : value.dump();
+}
+
+// Nested JSON as the pairs that the simulator's wire would bring.
+void flatten(const std::string& path, const Json& value, Pairs& pairs) {
+  if (value.is_object()) {
+    for (const auto& [name, inner] : value.items())
+      flatten(path.empty() ? name : path + "." + name, inner, pairs);
+  } else if (value.is_array()) {
+    std::string joined;
+    bool objects = false;
+    for (std::size_t i = 0; i < value.size(); ++i) {
+      objects = objects || value[i].is_object();
+      if (value[i].is_object()) flatten(path + "." + std::to_string(i), value[i], pairs);
+      if (!value[i].is_object()) joined += (i ? "," : "") + plain(value[i]);
+    }
+    objects ? pairs.put(path + ".count", std::to_string(value.size())) : pairs.put(path, joined);
+  } else {
+    pairs.put(path, plain(value));
+  }
+}
+
+std::string text_of(const Json& json, const char* name) {
+  const auto found = json.find(name);
+  return found != json.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+}  // namespace
+
+std::variant<StartTerms, StartFault> read_start(std::string_view text) {
+  const auto json = Json::parse(text.begin(), text.end(), nullptr, false);
+  if (!json.is_object()) return StartFault{"expected a JSON object"};
+  StartTerms terms;
+  terms.name = text_of(json, "name");
+  const auto listen = read_place(text_of(json, "listen"));
+  if (!listen) return StartFault{"listen: expected address:port"};
+  terms.listen = *listen;
+  const auto seed = text_of(json, "seed");
+  const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), terms.seed, 16);
+  if (error != std::errc{} || end != seed.data() + seed.size()) return StartFault{"seed: expected hex digits"};
+  if (const auto limits = json.find("limits"); limits != json.end() && limits->is_object())
+    terms.sockets = static_cast<std::size_t>(std::max(64.0, limits->value("sockets", 1024.0)));
+  terms.channel = read_place(text_of(json, "channel"));
+  if (!terms.channel) return StartFault{"channel: expected address:port"};
+  if (const auto known = json.find("known"); known != json.end()) terms.known = known->dump();
+  const auto settings = json.find("settings");
+  if (settings == json.end() || !settings->is_object()) return StartFault{"settings: expected an object"};
+  Pairs pairs;
+  flatten("", *settings, pairs);
+  try {
+    terms.site = site_terms(pairs);
+    for (std::size_t i = 0; i < terms.site.plans.size(); ++i) {
+      const auto path = "Classes." + std::to_string(i) + ".";
+      terms.plans.push_back(pairs.text(path + "Name"));
+      terms.abandon.push_back(Span(pairs.integer(path + "GiveUp", 0)));
+    }
+    terms.halls = pairs.texts("Zones");
+    terms.kinds = pairs.texts("Models");
+    const auto dial = pairs.integer("Limits.DialTimeout", 0);
+    if (dial > 0) terms.dial_limit = Span(dial);
+    const auto tries = pairs.integer("Limits.StreamsPerConn", 0);
+    if (tries > 0) terms.tries_per_link = static_cast<std::size_t>(tries);
+  } catch (const SettingFault& fault) {
+    return StartFault{std::string("settings: ") + fault.what()};
+  }
+  return terms;
+}
+
+}  // namespace violettide::platform
--- /dev/null
+++ b/src/platform/start.h
@@ -0,0 +1,34 @@
+// What the platform's configuration tells a session manager, read and checked as a whole.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "brain.h"
+#include "platform/channel/channel.h"
+
+namespace violettide::platform {
+
+struct StartTerms {
+  std::string name;
+  Place listen;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;
+  std::optional<Place> channel;
+  std::string known;  // events of the command channel up to now, JSON
+  SiteTerms site;
+  std::vector<std::string> plans;  // names, in the order of site.plans
+  std::vector<Span> abandon;       // a plan's viewers wait so long at most
+  std::vector<std::string> halls, kinds;
+  Span dial_limit{250'000};
+  std::size_t tries_per_link = 1'000'000;
+  Span wall_at_zero{0};  // the machine's clock at the core's time 0
+};
+struct StartFault {
+  std::string cause;  // with its place
+};
+std::variant<StartTerms, StartFault> read_start(std::string_view json);
+
+}  // namespace violettide::platform
--- a/src/runtime/runtime.cpp
+++ b/src/runtime/runtime.cpp
@@ -7,6 +7,8 @@
 #include <cstdio>
 #include <cstring>
 #include <deque>
+#include <fstream>
+#include <sstream>
 #include <unordered_map>
 
 namespace violettide::runtime {
@@ -57,6 +59,9 @@
       uv_signal_start(
           &signals_[i], [](uv_signal_t* h, int) { of(h)->deliver(StopAsked{}); }, i == 0 ? SIGINT : SIGTERM);
     }
+    uv_signal_init(&loop_, &hangup_);
+    hangup_.data = this;
+    uv_signal_start(&hangup_, [](uv_signal_t* h, int) { of(h)->hung_up(); }, SIGHUP);
     doors_.resize(places_.size());
     try {
       for (std::size_t i = 0; i < places_.size(); ++i) open(static_cast<int>(i));
@@ -85,6 +90,7 @@
     uv_run(&loop_, UV_RUN_DEFAULT);
   }
 
+  void reread(std::string path) { reread_ = std::move(path); }
   std::uint16_t port(int door) const { return places_.at(door).port; }
   Span now() {
     if (!time_read_) {
@@ -147,6 +153,15 @@
     }
   }
 
+  void hung_up() {
+    if (reread_.empty()) return;
+    std::ifstream file(reread_);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (file) return deliver(Reread{text.str()});
+    if (said_) said_(now(), Say{"reread_failed", {{"file", reread_}, {"cause", std::string(std::strerror(errno))}}});
+  }
+
   void perform(std::vector<Act>& acts) {
     std::vector<Link> touched;
     for (auto& act : acts) {
@@ -488,6 +503,8 @@
   uv_prepare_t prepare_{};
   uv_check_t check_{};
   std::array<uv_signal_t, 2> signals_{};
+  uv_signal_t hangup_{};
+  std::string reread_;
   std::uint64_t origin_ = 0;
   Span time_{0};
   bool time_read_ = false;
@@ -511,6 +528,7 @@
     : inside_(std::make_unique<Inside>(core, std::move(doors), std::move(said), std::move(folder), disk)) {}
 Loop::~Loop() = default;
 std::uint16_t Loop::port(int door) const { return inside_->port(door); }
+void Loop::reread(std::string path) { inside_->reread(std::move(path)); }
 void Loop::run() { inside_->run(); }
 Span Loop::now() const { return inside_->now(); }
 std::uint64_t Loop::machine_clock_us() { return uv_hrtime() / 1000; }
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -40,6 +40,8 @@
   Loop& operator=(const Loop&) = delete;
 
   std::uint16_t port(int door) const;  // as bound
+  // On SIGHUP the core is told what the file holds; without one, SIGHUP is passed over.
+  void reread(std::string path);
   // Until the core leaves. SIGINT and SIGTERM reach it as StopAsked.
   void run();
   // The time that the core is given: microseconds of the machine's monotonic clock since `origin`.
--- a/src/seams/seams.h
+++ b/src/seams/seams.h
@@ -47,8 +47,12 @@
 };
 struct Woken {};  // the time asked for by WakeAt has come
 struct StopAsked {};
+struct Reread {
+  std::string text;
+};  // the file to read again, as it is now
 using Happening =
-    std::variant<Accepted, Connected, Received, HalfClosed, Ended, Flushed, KeepDone, Woken, StopAsked>;
+    std::variant<Accepted, Connected, Received, HalfClosed, Ended, Flushed, KeepDone, Woken, StopAsked,
+                 Reread>;
 
 struct Dial {
   Link link;
--- a/tests/program/audit_test.cpp
+++ b/tests/program/audit_test.cpp
@@ -46,18 +46,18 @@
 }
 
 // The module, with a break in what it says.
-class Bent : public manager::Decider {
+class Bent : public Decider {
  public:
   using Bend = std::function<std::vector<Order>(Span, const Event&, std::vector<Order>)>;
   Bent(const SiteTerms& terms, std::uint64_t seed, Bend bend)
-      : module_(manager::module_decider(terms, seed)), bend_(std::move(bend)) {}
+      : module_(module_decider(terms, seed)), bend_(std::move(bend)) {}
   std::vector<Order> decide(Span now, const Event& event) override {
     auto orders = module_->decide(now, event);
     return bend_ ? bend_(now, event, std::move(orders)) : orders;
   }
 
  private:
-  std::unique_ptr<manager::Decider> module_;
+  std::unique_ptr<Decider> module_;
   Bend bend_;
 };
 
--- a/tests/program/scripted.h
+++ b/tests/program/scripted.h
@@ -11,7 +11,7 @@
 
 namespace violettide::testing {
 
-class Script : public manager::Decider {
+class Script : public Decider {
  public:
   using Says = std::function<std::vector<Order>(Span, const Event&)>;
   Script(std::vector<Event>* told, Says says) : told_(told), says_(std::move(says)) {}
