--- /dev/null
+++ b/tests/program/platform_test.cpp
@@ -0,0 +1,509 @@
+// The session manager on the operators' platform as a core: happenings in, acts out, a script in the
+// module's place. Each test tells what passes on the sockets and what the module hears of it.
+#include <gtest/gtest.h>
+
+#include "platform/platform.h"
+#include "scripted.h"
+
+namespace violettide::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::of_kind;
+using testing::Script;
+
+constexpr Link viewer = first_accepted;
+const std::string call = "9b1f03aa5c7e2d41";
+constexpr CallId call_number = 0x9b1f03aa5c7e2d41;
+
+std::string offer(const std::string& id = call, const std::string& left = "1500", const std::string& more = "",
+                  const std::string& extras = "home:0;copies:2;top:1") {
+  return R"({"op":"offer","call":")" + id + R"(","with":{"class":"triage","left":")" + left +
+         R"(","key":"t1","hint":"8000","extras":")" + extras + "\"" + more + R"(},"desc":"tag\r\nc=IN\r\n"})" + "\n";
+}
+std::string end(const std::string& id = call) {
+  return R"({"op":"end","call":")" + id + R"(","with":{},"why":16})" + "\n";
+}
+
+std::string from_server(int type, CallId id, const std::string& parameters = "") {
+  std::string body(1, static_cast<char>(type));
+  for (int shift = 56; shift >= 0; shift -= 8) body += static_cast<char>(id >> shift & 255);
+  body += parameters;
+  return std::string(1, static_cast<char>(body.size() >> 8)) + static_cast<char>(body.size() & 255) + body;
+}
+std::string parameter(int code, const std::string& value) {
+  return std::string(1, static_cast<char>(code)) + static_cast<char>(value.size() >> 8) +
+         static_cast<char>(value.size() & 255) + value;
+}
+std::string accept(CallId id = call_number) { return from_server(9, id, parameter(174, "server says\r\n")); }
+std::string release(int cause, CallId id = call_number) {
+  return from_server(12, id, parameter(171, std::string(1, static_cast<char>(cause))));
+}
+
+class PlatformTest : public ::testing::Test {
+ protected:
+  PlatformTest() { make(256); }
+
+  void make(std::size_t sockets) {
+    StartTerms terms;
+    terms.sockets = sockets;
+    terms.plans = {"triage", "escalation"};
+    terms.abandon = {1800ms, 1440ms};
+    terms.site.plans.resize(2);
+    terms.site.rung_kb = {100, 200};
+    terms.site.cells = 2;
+    terms.kinds = {"std"};
+    terms.halls = {"h"};
+    terms.dial_limit = 250ms;
+    terms.channel = Place{"10.2.0.1", 7070};
+    terms.known = R"({"cursor":1,"cmds":[)" + listed(1, "Ready", "Ready", true) + "]}";
+    core = std::make_unique<Platform>(terms, std::make_unique<Script>(&told, [this](Span, const Event& event) {
+      return says ? says(event) : std::vector<Order>{};
+    }));
+    acts.clear();
+    happen(Woken{});
+    channel_link = dialled("10.2.0.1");
+  }
+  static std::string listed(int number, const std::string& a, const std::string& b, bool whole = false,
+                            const std::string& a_since = "0") {
+    const auto entry = [](const std::string& name, const std::string& at, const std::string& status,
+                          const std::string& since) {
+      return R"({"name":")" + name + R"(","address":")" + at +
+             R"(:3868","zone":"h","type":"std","group":0,"status":")" + status + R"(","weight":1,"since_ms":)" +
+             since + "}";
+    };
+    return R"({"cursor":)" + std::to_string(number) + R"(,"nodes":{"snapshot":)" + (whole ? "true" : "false") +
+           R"(,"endpoints":[)" + entry("s-a", "10.1.0.1", a, a_since) + "," + entry("s-b", "10.1.0.2", b, "0") + "]}}";
+  }
+
+  void happen(const Happening& what) { core->handle(now, what, acts); }
+  void pass(Span time) {  // in steps, as the core's timers ring
+    for (const auto until = now + time; now < until;) {
+      now = std::min(until, now + 10ms);
+      happen(Woken{});
+    }
+  }
+  void hear(Link link, const std::string& bytes) { happen(Received{link, bytes}); }
+  void come(Link link = viewer) { happen(Accepted{link, 0}); }
+
+  // What was dialled last at an address; 0: nothing. Forgets it.
+  Link dialled(const std::string& address) {
+    Link link = 0;
+    std::erase_if(acts, [&](const Act& act) {
+      const auto* dial = std::get_if<Dial>(&act);
+      if (!dial || dial->address != address) return false;
+      link = dial->link;
+      return true;
+    });
+    return link;
+  }
+  std::string sent(Link link) {  // and forgets it
+    std::string all;
+    std::erase_if(acts, [&](const Act& act) {
+      const auto* send = std::get_if<Send>(&act);
+      if (!send || send->link != link) return false;
+      all += send->bytes;
+      return true;
+    });
+    return all;
+  }
+  bool hung(Link link) const {
+    return std::any_of(acts.begin(), acts.end(), [&](const Act& act) {
+      const auto* hang = std::get_if<Hang>(&act);
+      return hang && hang->link == link;
+    });
+  }
+  bool left() const {
+    return std::any_of(acts.begin(), acts.end(), [](const Act& act) { return std::holds_alternative<Leave>(act); });
+  }
+  Link connect(const std::string& address) {
+    const auto link = dialled(address);
+    EXPECT_NE(link, 0u) << address;
+    happen(Connected{link});
+    return link;
+  }
+  // The module sets every playback up at this server, and again there where it is asked anew.
+  void always_at(ServerId server, Span limit = 500ms) {
+    says = [=, this](const Event& event) -> std::vector<Order> {
+      std::optional<PlaybackId> id;
+      if (const auto* request = std::get_if<Request>(&event)) id = request->playback;
+      if (const auto* ended = std::get_if<TryEnded>(&event); ended && !ended->over) {
+        if (tries == 1) return {Reject{ended->playback, 400ms}};
+        id = ended->playback;
+      }
+      if (!id) return {};
+      ++tries;
+      return {SetRung{*id, 1}, SetUp{*id, server, limit}};
+    };
+  }
+  // A playback that plays at s-a; its connection there.
+  Link playing() {
+    always_at(0);
+    come();
+    hear(viewer, offer());
+    const auto link = connect("10.1.0.1");
+    hear(link, accept());
+    sent(viewer);
+    return link;
+  }
+  Outcome outcome() const {
+    const auto ended = of_kind<TryEnded>(told);
+    EXPECT_FALSE(ended.empty());
+    return ended.empty() ? Outcome::served : ended.back().outcome;
+  }
+
+  std::vector<Event> told;
+  std::function<std::vector<Order>(const Event&)> says;
+  std::unique_ptr<Platform> core;
+  std::vector<Act> acts;
+  Span now{1s};
+  Link channel_link = 0;
+  int tries = 0;
+};
+
+TEST_F(PlatformTest, ASetUpGoesOutAsTheViewerSaidItAndTheAnswerComesBackUnchanged) {
+  always_at(0);
+  come();
+  hear(viewer, offer());
+  const auto request = of_kind<Request>(told).at(0);
+  EXPECT_EQ(request.abandon_at, now + 1500ms);
+  EXPECT_EQ(request.length, Span(8s));
+  EXPECT_EQ(request.holders, 2);
+  EXPECT_EQ(request.top, 1);
+  const auto link = connect("10.1.0.1");
+  EXPECT_EQ(sent(link), set_up_bytes({call_number, "triage", "t1", "tag\r\nc=IN\r\n", 500, 1}));
+  now += 30ms;
+  hear(link, accept());
+  EXPECT_EQ(sent(viewer), accept_line(call_number, "server says\r\n"));
+  EXPECT_EQ(of_kind<Started>(told).at(0).waited, 30ms);
+  hear(link, accept());
+  EXPECT_EQ(sent(viewer), "") << "a second copy is no answer";
+  hear(link, release(16));
+  EXPECT_EQ(sent(viewer), end_line(call_number, 16));
+  EXPECT_EQ(outcome(), Outcome::served);
+  EXPECT_TRUE(of_kind<TryEnded>(told).back().over);
+  EXPECT_EQ(core->held().playbacks, 0u);
+  EXPECT_EQ(core->held().titles, 0u);
+}
+
+TEST_F(PlatformTest, CausesBeforeTheAnswerMeanWhatThePlatformSays) {
+  const std::vector<std::pair<int, Outcome>> means{
+      {34, Outcome::full}, {47, Outcome::error}, {102, Outcome::not_sent}, {41, Outcome::reset}, {99, Outcome::reset}};
+  always_at(0);
+  come();
+  hear(viewer, offer());
+  const auto link = connect("10.1.0.1");
+  for (const auto& [cause, outcome_meant] : means) {
+    hear(link, release(cause));
+    EXPECT_EQ(outcome(), outcome_meant) << cause;
+    EXPECT_EQ(sent(viewer), end_line(call_number, cause::rejected, 400)) << "with a come-back time";
+    tries = 0;
+    hear(viewer, offer());
+  }
+}
+
+TEST_F(PlatformTest, ATryBeyondItsTimeIsGivenUpBeforeTheNext) {
+  always_at(0, 200ms);
+  come();
+  hear(viewer, offer());
+  const auto link = connect("10.1.0.1");
+  hear(link, from_server(6, call_number));
+  sent(link);
+  pass(210ms);
+  EXPECT_EQ(outcome(), Outcome::late);
+  EXPECT_EQ(sent(link), release_bytes(call_number, 16));
+  EXPECT_EQ(sent(viewer), end_line(call_number, cause::rejected, 400));
+  hear(link, accept());
+  EXPECT_EQ(sent(viewer), "") << "an answer after its time is none";
+  EXPECT_TRUE(of_kind<Started>(told).empty());
+}
+
+TEST_F(PlatformTest, AConnectionWithoutASignInATrysTimeTakesNoMore) {
+  always_at(0, 200ms);
+  come();
+  hear(viewer, offer());
+  connect("10.1.0.1");
+  pass(210ms);
+  tries = 0;
+  hear(viewer, offer("00000000000000aa"));
+  EXPECT_NE(dialled("10.1.0.1"), 0u);
+}
+
+TEST_F(PlatformTest, ARefusedConnectionAndOneThatNeverComesUpProveThatNothingRan) {
+  always_at(0);
+  come();
+  hear(viewer, offer());
+  happen(Ended{dialled("10.1.0.1"), Ending::refused});
+  EXPECT_EQ(outcome(), Outcome::no_connection);
+  tries = 0;
+  hear(viewer, offer());
+  const auto link = dialled("10.1.0.1");
+  pass(260ms);
+  EXPECT_EQ(of_kind<TryEnded>(told).size(), 2u);
+  EXPECT_EQ(outcome(), Outcome::no_connection);
+  EXPECT_TRUE(hung(link));
+}
+
+TEST_F(PlatformTest, WhatCannotBeReadEndsAllTriesOnItsConnection) {
+  always_at(0);
+  come();
+  hear(viewer, offer() + offer("00000000000000aa"));
+  const auto link = connect("10.1.0.1");
+  hear(link, std::string("\xff\xff", 2));
+  EXPECT_TRUE(hung(link));
+  const auto ended = of_kind<TryEnded>(told);
+  ASSERT_EQ(ended.size(), 2u);
+  for (const auto& one : ended) EXPECT_EQ(one.outcome, Outcome::reset) << "it may have run";
+  EXPECT_EQ(sent(link), set_up_bytes({call_number, "triage", "t1", "tag\r\nc=IN\r\n", 500, 1}) +
+                            set_up_bytes({0xaa, "triage", "t1", "tag\r\nc=IN\r\n", 500, 1}));
+}
+
+TEST_F(PlatformTest, AnAnswerForNobodyIsPassedOver) {
+  always_at(0);
+  come();
+  hear(viewer, offer());
+  const auto link = connect("10.1.0.1");
+  hear(link, accept(77));
+  EXPECT_EQ(sent(viewer), "");
+  hear(link, accept());
+  EXPECT_EQ(sent(viewer), accept_line(call_number, "server says\r\n"));
+}
+
+TEST_F(PlatformTest, AViewerWhoLeavesOwesNothingAndItsTryIsGivenUp) {
+  always_at(0);
+  come();
+  hear(viewer, offer());
+  const auto link = connect("10.1.0.1");
+  sent(link);
+  hear(viewer, end());
+  EXPECT_EQ(sent(link), release_bytes(call_number, 16));
+  EXPECT_EQ(sent(viewer), ended_line(call_number));
+  EXPECT_EQ(of_kind<Withdrawn>(told).size(), 1u);
+  EXPECT_EQ(outcome(), Outcome::cancelled);
+  hear(viewer, offer("00000000000000aa"));
+  happen(Ended{viewer, Ending::reset});
+  EXPECT_EQ(of_kind<Withdrawn>(told).size(), 2u) << "a connection that ends takes its set-ups with it";
+  EXPECT_EQ(core->held().playbacks, 0u);
+}
+
+TEST_F(PlatformTest, AViewerEndsWhatPlaysOnAnyConnection) {
+  const auto link = playing();
+  sent(link);
+  happen(Ended{viewer, Ending::reset});
+  EXPECT_EQ(core->held().playbacks, 1u) << "no connection owns what plays";
+  come(viewer + 1);
+  hear(viewer + 1, end());
+  EXPECT_EQ(sent(link), release_bytes(call_number, 16));
+  EXPECT_EQ(outcome(), Outcome::cancelled);
+  EXPECT_EQ(core->held().playbacks, 0u);
+}
+
+TEST_F(PlatformTest, WhatItsViewerEndedOrMovedIsNotTold) {
+  const auto link = playing();
+  hear(link, release(31));
+  EXPECT_EQ(sent(viewer), "");
+  EXPECT_EQ(outcome(), Outcome::cancelled);
+}
+
+// Handed over with far more left than a plan's viewers wait, which is no fault of what plays already.
+TEST_F(PlatformTest, WhatPlaysAtAStartIsTakenWithoutAnAnswerAndItsEndIsTold) {
+  come();
+  hear(viewer, offer(call, "4294967", "", "home:0;copies:2;top:1;at:s-a"));
+  EXPECT_EQ(sent(viewer), "");
+  ASSERT_EQ(of_kind<CarriedOver>(told).size(), 1u);
+  EXPECT_EQ(of_kind<CarriedOver>(told)[0].server, 0u);
+  const auto link = connect("10.1.0.1");
+  hear(link, from_server(44, call_number, parameter(150, "tier") + parameter(165, "1")));
+  EXPECT_EQ(of_kind<Note>(told).at(0).about, Note::About::rung);
+  hear(viewer, offer(call, "4294967", "", "home:0;copies:2;top:1;at:s-a"));
+  EXPECT_EQ(of_kind<CarriedOver>(told).size(), 1u) << "told again of what it holds";
+  hear(link, release(41));
+  EXPECT_EQ(sent(viewer), end_line(call_number, 41));
+  EXPECT_EQ(outcome(), Outcome::reset);
+}
+
+TEST_F(PlatformTest, OffersOutOfBoundsAreTurnedOffAndReachNobody) {
+  int number = 0;
+  for (const auto& bad :
+       {offer(call, "0"), offer(call, "-5"), offer(call, "1e9"), offer(call, "soon"), offer(call, "nan"),
+        offer(call, "1500", R"(,"class":"none")"), offer(call, "1500", "", "home:2;copies:2;top:1"),
+        offer(call, "1500", "", "home:0;copies:3;top:1"), offer(call, "1500", "", "home:0;copies:2;top:9"),
+        offer(call, "1500", "", "home:0"), offer(call, "1500", "", "home"),
+        std::string(R"({"op":"offer","call":")" + call + R"(","with":{}})" + "\n"),
+        std::string(R"({"op":"dance","call":")" + call + R"("})" + "\n")}) {
+    const Link link = viewer + static_cast<Link>(++number);
+    come(link);
+    hear(link, bad);
+    EXPECT_EQ(sent(link), end_line(call_number, cause::unusable)) << bad;
+    EXPECT_TRUE(hung(link)) << bad;
+  }
+  EXPECT_TRUE(of_kind<Request>(told).empty());
+}
+
+TEST_F(PlatformTest, TheIdOfAnOpenRequestIsNotTakenTwice) {
+  always_at(0);
+  come();
+  hear(viewer, offer());
+  const auto link = connect("10.1.0.1");
+  come(viewer + 1);
+  hear(viewer + 1, offer());
+  EXPECT_EQ(sent(viewer + 1), end_line(call_number, cause::unusable));
+  hear(link, accept());
+  EXPECT_EQ(sent(viewer), accept_line(call_number, "server says\r\n")) << "who came first is served";
+}
+
+TEST_F(PlatformTest, TwoRequestsUnderOneNumberOnOneConnectionGetOneAnswer) {
+  always_at(0);
+  come();
+  hear(viewer, offer());
+  const auto link = connect("10.1.0.1");
+  hear(viewer, offer());
+  hear(link, accept());
+  EXPECT_EQ(sent(viewer), end_line(call_number, cause::unusable));
+  EXPECT_EQ(core->held().playbacks, 0u);
+}
+
+TEST_F(PlatformTest, ConnectionsThatSayNothingWholeAreEnded) {
+  come();
+  come(viewer + 1);
+  come(viewer + 2);
+  hear(viewer + 1, "{\"op\":");
+  hear(viewer + 2, R"({"op":"test","call":"0000000000000001","with":{},"why":0})" "\n");
+  EXPECT_EQ(sent(viewer + 2), tested_line(1, true));
+  for (int i = 0; i < 15; ++i) {
+    pass(200ms);
+    hear(viewer + 1, "x");  // a little now and then does not keep it
+  }
+  EXPECT_TRUE(hung(viewer));
+  EXPECT_TRUE(hung(viewer + 1));
+  EXPECT_FALSE(hung(viewer + 2)) << "viewers close one that carries nothing themselves, after 4 s";
+  pass(4s);
+  EXPECT_TRUE(hung(viewer + 2));
+}
+
+TEST_F(PlatformTest, AFloodOfConnectionsShutsNobodyOutWhoHasSpoken) {
+  make(64);
+  come();
+  hear(viewer, R"({"op":"test","call":"0000000000000001","with":{},"why":0})" "\n");
+  for (Link link = viewer + 1; link < viewer + 200; ++link) come(link);
+  EXPECT_FALSE(hung(viewer));
+  EXPECT_TRUE(hung(viewer + 1));
+  EXPECT_FALSE(hung(viewer + 199)) << "the longest silent goes first";
+  EXPECT_LE(core->held().viewer_links, 32u);
+}
+
+TEST_F(PlatformTest, AServerWithoutASignIsDialledAndGivenUpInTheEnd) {
+  const auto link = playing();
+  pass(1900ms);
+  EXPECT_EQ(dialled("10.1.0.1"), 0u);
+  pass(200ms);
+  const auto first = dialled("10.1.0.1");
+  ASSERT_NE(first, 0u);
+  happen(Connected{first});
+  pass(4s);
+  EXPECT_EQ(core->held().playbacks, 1u) << "it came up: a sign";
+  EXPECT_TRUE(hung(link)) << "the old connection goes";
+  pass(3500ms);  // no dial comes up
+  EXPECT_EQ(core->held().playbacks, 0u);
+  EXPECT_EQ(sent(viewer), end_line(call_number, 41));
+  EXPECT_EQ(outcome(), Outcome::reset);
+}
+
+TEST_F(PlatformTest, APlaybackOutlivesItsConnectionButNotItsServersProcess) {
+  const auto link = playing();
+  happen(Ended{link, Ending::reset});
+  const auto second = dialled("10.1.0.1");
+  ASSERT_NE(second, 0u) << "at once, to hear how playbacks end";
+  happen(Connected{second});
+  EXPECT_EQ(core->held().playbacks, 1u);
+  happen(Ended{second, Ending::reset});
+  happen(Ended{dialled("10.1.0.1"), Ending::refused});
+  EXPECT_EQ(core->held().playbacks, 1u) << "one refusal may be a moment's";
+  pass(550ms);
+  happen(Ended{dialled("10.1.0.1"), Ending::refused});
+  EXPECT_EQ(core->held().playbacks, 0u);
+  EXPECT_EQ(sent(viewer), end_line(call_number, 41));
+}
+
+TEST_F(PlatformTest, AServerStartedAnewPlaysNothingOfBefore) {
+  happen(Connected{channel_link});
+  EXPECT_EQ(sent(channel_link), "resume 1\n");
+  hear(channel_link, listed(2, "Ready", "Ready", false, "500") + "\n");
+  playing();
+  hear(channel_link, listed(3, "Ready", "Ready", false, "900") + "\n");
+  EXPECT_EQ(sent(viewer), end_line(call_number, 41));
+}
+
+TEST_F(PlatformTest, ARungSetWhileNoConnectionStandsIsSaidOnTheNext) {
+  const auto link = playing();
+  sent(link);
+  says = [](const Event& event) -> std::vector<Order> {
+    if (std::holds_alternative<Note>(event)) return {SetRung{0, 0}};
+    return {};
+  };
+  hear(link, from_server(44, call_number, parameter(150, "kept_up") + parameter(165, "0.5")));
+  EXPECT_EQ(of_kind<Note>(told).back().value, 0.5);
+  EXPECT_EQ(sent(link), rung_bytes(call_number, 0));
+}
+
+TEST_F(PlatformTest, ATestIsAProbe) {
+  says = [](const Event& event) -> std::vector<Order> {
+    if (std::holds_alternative<Request>(event)) return {Probe{1}};
+    return {};
+  };
+  come();
+  hear(viewer, offer());
+  const auto link = connect("10.1.0.2");
+  const auto test = sent(link);
+  ASSERT_EQ(test.size(), 2u + 9 + 4);
+  const auto reply = std::string(1, 53) + test.substr(3, 8) + parameter(171, "\1") + parameter(156, "busy:0.25");
+  hear(link, std::string(1, '\0') + static_cast<char>(reply.size()) + reply);
+  ASSERT_EQ(of_kind<ProbeEnded>(told).size(), 1u);
+  EXPECT_TRUE(of_kind<ProbeEnded>(told)[0].answered);
+  EXPECT_EQ(of_kind<ProbeEnded>(told)[0].load.link_fill, 0.25);
+  hear(viewer, offer("00000000000000aa"));
+  pass(300ms);
+  ASSERT_EQ(of_kind<ProbeEnded>(told).size(), 2u);
+  EXPECT_FALSE(of_kind<ProbeEnded>(told)[1].answered);
+}
+
+TEST_F(PlatformTest, AStopAnswersWhatIsOpenAndThenLeaves) {
+  always_at(0);
+  come();
+  hear(viewer, offer());
+  const auto link = connect("10.1.0.1");
+  happen(StopAsked{});
+  hear(viewer, R"({"op":"test","call":"0000000000000001","with":{},"why":0})" "\n");
+  EXPECT_EQ(sent(viewer), tested_line(1, false)) << "the front is to take it out";
+  pass(200ms);
+  hear(link, accept());
+  EXPECT_EQ(sent(viewer), accept_line(call_number, "server says\r\n"));
+  pass(1s);
+  EXPECT_FALSE(left()) << "something plays";
+  hear(link, release(16));
+  pass(200ms);
+  EXPECT_TRUE(left());
+}
+
+TEST_F(PlatformTest, AStopEndsInTheLongestAbandonTimeWhateverPlays) {
+  playing();
+  happen(StopAsked{});
+  pass(3s);
+  EXPECT_FALSE(left());
+  pass(700ms);
+  EXPECT_TRUE(left());
+}
+
+TEST_F(PlatformTest, AnotherConfigurationMovesTheChannelAndOneThatCannotBeReadMovesNothing) {
+  happen(Connected{channel_link});
+  happen(Reread{"half of a fi"});
+  EXPECT_FALSE(hung(channel_link));
+  happen(Reread{R"({"listen":"10.0.0.4:3868","seed":"1","channel":"10.2.0.9:7070","settings":{}})"});
+  EXPECT_TRUE(hung(channel_link));
+  pass(300ms);
+  const auto next = connect("10.2.0.9");
+  EXPECT_EQ(sent(next), "resume 1\n");
+}
+
+}  // namespace
+}  // namespace violettide::platform
--- /dev/null
+++ b/tests/program/platform_wire_test.cpp
@@ -0,0 +1,268 @@
+// The operators' platform on the wire: viewers' lines, servers' messages, the command channel and the
+// configuration.
+#include <gtest/gtest.h>
+
+#include "platform/channel/channel.h"
+#include "platform/start.h"
+#include "platform/wire/server.h"
+#include "platform/wire/viewer.h"
+
+namespace violettide::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using Messages = std::vector<std::variant<ViewerMessage, Unreadable>>;
+
+const std::string offer =
+    R"({"op":"offer","call":"9b1f03aa5c7e2d41","with":{"class":"paid","left":"1500","hint":82.5},)"
+    R"("desc":"9d41\r\nc=IN\r\n"})"
+    "\n";
+
+TEST(ViewerLines, ReadTheSameInAnyCutting) {
+  for (std::size_t cut = 0; cut <= offer.size(); ++cut) {
+    ViewerReader reader;
+    Messages messages;
+    reader.take(offer.substr(0, cut), messages);
+    EXPECT_EQ(reader.midway(), cut > 0 && cut < offer.size());
+    reader.take(offer.substr(cut) + offer, messages);
+    ASSERT_EQ(messages.size(), 2u) << "cut at " << cut;
+    const auto& message = std::get<ViewerMessage>(messages[0]);
+    EXPECT_EQ(message.kind, ViewerMessage::Kind::offer);
+    EXPECT_EQ(call_text(message.call), "9b1f03aa5c7e2d41");
+    EXPECT_EQ(message.fields.at("left"), "1500");
+    EXPECT_EQ(message.fields.at("hint"), "82.5");
+    EXPECT_EQ(message.description, "9d41\r\nc=IN\r\n");
+  }
+}
+
+TEST(ViewerLines, WhatCannotBeReadSaysWhyAndKeepsTheId) {
+  const auto cause = [](std::string line) {
+    const auto read = read_viewer_line(line);
+    const auto* unreadable = std::get_if<Unreadable>(&read);
+    return unreadable ? unreadable->cause + (unreadable->call ? "!" : "") : std::string("read");
+  };
+  EXPECT_EQ(cause("[]"), "expected a JSON object a line");
+  EXPECT_EQ(cause("{\"op\":\"offer\""), "expected a JSON object a line");
+  EXPECT_EQ(cause(std::string(8000, '[')), "expected a JSON object a line");
+  EXPECT_EQ(cause(R"({"op":"offer"})"), "call: expected 16 hex digits");
+  EXPECT_EQ(cause(R"({"op":"offer","call":"9B1f03aa5c7e2d41"})"), "call: expected 16 hex digits");
+  EXPECT_EQ(cause(R"({"op":"offer","call":12})"), "call: expected 16 hex digits");
+  EXPECT_EQ(cause(R"({"call":"9b1f03aa5c7e2d41"})"), "op: expected a message's type!");
+  EXPECT_EQ(cause(R"({"op":"end","call":"9b1f03aa5c7e2d41","with":[]})"), "with: expected an object!");
+  EXPECT_EQ(cause(R"({"op":"end","call":"9b1f03aa5c7e2d41","with":{"left":{}}})"),
+            "with.left: expected a text or a number!");
+  EXPECT_EQ(cause(R"({"op":"end","call":"9b1f03aa5c7e2d41","why":1.5})"), "why: expected a whole number!");
+  EXPECT_EQ(cause(R"({"op":"end","call":"9b1f03aa5c7e2d41","desc":1})"), "desc: expected a text!");
+  EXPECT_EQ(cause(R"({"op":"end","call":"9b1f03aa5c7e2d41","with":{"left":1,"left":2}})"),
+            "a name is said twice!");
+}
+
+TEST(ViewerLines, ALineThatNeverEndsIsGivenUpAndNothingIsReadAfter) {
+  ViewerReader reader;
+  Messages messages;
+  for (int i = 0; i < 5; ++i) reader.take(std::string(message_most / 2, 'a'), messages);
+  reader.take("\n" + offer, messages);
+  ASSERT_EQ(messages.size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<Unreadable>(messages[0]));
+}
+
+TEST(ViewerLines, FiguresAreWholeAndPlain) {
+  EXPECT_EQ(figure("1500"), 1500);
+  EXPECT_EQ(figure("8200.5"), 8200.5);
+  for (const auto* none : {"", "-1", "nan", "inf", "1e999", "12ms", " 1", "0x10"}) EXPECT_FALSE(figure(none)) << none;
+}
+
+TEST(ViewerLines, AnswersAreOneObjectALine) {
+  EXPECT_EQ(end_line(0x1f, 42, 500), R"({"op":"end","call":"000000000000001f","with":{"wait":"500"},"why":42})" "\n");
+  EXPECT_EQ(end_line(0x1f, 41), R"({"op":"end","call":"000000000000001f","with":{},"why":41})" "\n");
+  EXPECT_EQ(accept_line(0x1f, "a\r\nb"),
+            R"({"op":"accept","call":"000000000000001f","with":{},"desc":"a\r\nb"})" "\n");
+}
+
+std::string parameter(int code, const std::string& value) {
+  return std::string(1, static_cast<char>(code)) + static_cast<char>(value.size() >> 8) +
+         static_cast<char>(value.size() & 255) + value;
+}
+std::string message(int type, const std::string& parameters) {
+  const std::string body = std::string(1, static_cast<char>(type)) + std::string(7, '\0') + '\7' + parameters;
+  return std::string(1, static_cast<char>(body.size() >> 8)) + static_cast<char>(body.size() & 255) + body;
+}
+
+TEST(ServerMessages, ReadTheSameInAnyCutting) {
+  const auto bytes = message(9, parameter(174, "desc") + parameter(99, "skipped")) +
+                     message(12, parameter(171, "\x22") + parameter(156, "busy:0.5;x1:2")) +
+                     message(44, parameter(150, "kept_up") + parameter(165, "0.9"));
+  for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+    ServerReader reader;
+    std::vector<ServerMessage> read;
+    EXPECT_FALSE(reader.take(std::string_view(bytes).substr(0, cut), read));
+    EXPECT_FALSE(reader.take(std::string_view(bytes).substr(cut), read));
+    ASSERT_EQ(read.size(), 3u) << "cut at " << cut;
+    EXPECT_EQ(read[0].description, "desc");
+    EXPECT_EQ(read[0].call, 7u);
+    EXPECT_EQ(read[1].cause, 34);
+    EXPECT_EQ(read[1].load->at("busy"), 0.5);
+    EXPECT_EQ(read[2].note, "kept_up");
+    EXPECT_EQ(read[2].value, 0.9);
+  }
+}
+
+TEST(ServerMessages, WhatCannotBeReadIsToldOnce) {
+  for (const auto& spoilt :
+       {std::string("\xff\xff\x09", 3), std::string("\0\3abc", 5), message(9, ""), message(12, ""),
+        message(12, parameter(171, "ab")), message(200, ""), message(9, std::string("\xae\x40\0x", 4)), message(9, "\xae"),
+        message(44, parameter(165, "soon")), message(53, parameter(156, "busy"))}) {
+    ServerReader reader;
+    std::vector<ServerMessage> read;
+    EXPECT_TRUE(reader.take(message(16, "") + spoilt, read));
+    EXPECT_EQ(read.size(), 1u) << "what came whole before counts";
+    EXPECT_FALSE(reader.take(message(16, ""), read));
+    EXPECT_EQ(read.size(), 1u) << "nothing is read after";
+  }
+}
+
+TEST(ServerMessages, ASetUpPassesOnWhatTheViewerSaid) {
+  EXPECT_EQ(set_up_bytes({7, "paid", "title", "desc", 1200, 3}),
+            message(1, parameter(129, "paid") + parameter(141, "title") + parameter(132, "1200") +
+                           parameter(162, "3") + parameter(174, "desc")));
+  EXPECT_EQ(release_bytes(7, 16), message(12, parameter(171, "\x10")));
+  EXPECT_EQ(rung_bytes(7, 2), message(60, parameter(162, "2")));
+}
+
+std::string event(int number, const std::string& name, const std::string& status, bool whole = false) {
+  return R"({"cursor":)" + std::to_string(number) + R"(,"nodes":{"index":1,"snapshot":)" +
+         (whole ? "true" : "false") + R"(,"endpoints":[{"name":")" + name +
+         R"(","address":"10.1.0.9:3868","zone":"east","type":"std","group":2,"status":")" + status +
+         R"(","weight":4,"since_ms":5000}]}})";
+}
+
+class ChannelTest : public testing::Test {
+ protected:
+  ChannelTest() {
+    channel.connect_to(Place{"10.2.0.1", 7070});
+    EXPECT_EQ(channel.take_known(R"({"cursor":1,"cmds":[)" + event(1, "a", "Ready", true) + "]}").size(), 1u);
+    follow(0s);
+  }
+  void follow(Span now) {
+    ASSERT_EQ(channel.wish(now), Channel::Wish::dial);
+    channel.dialled(now);
+    asked = channel.connected(now);
+  }
+  std::size_t hear(Span now, const std::string& line) { return channel.received(now, line + "\n").size(); }
+  Channel channel;
+  std::string asked;
+};
+
+TEST_F(ChannelTest, AsksForWhatComesAfterTheLastEventAndTakesEachOnce) {
+  EXPECT_EQ(asked, "resume 1\n");
+  const auto news = channel.received(1s, event(2, "b", "Terminating") + "\n" + event(2, "b", "Terminating") + "\n");
+  ASSERT_EQ(news.size(), 1u) << "one is told twice";
+  const auto& server = news[0].servers.at(0);
+  EXPECT_EQ(server.name, "b");
+  EXPECT_EQ(server.place, (Place{"10.1.0.9", 3868}));
+  EXPECT_EQ(server.standing, Standing::draining);
+  EXPECT_EQ(server.hall, "east");
+  EXPECT_EQ(server.cell, 2);
+  EXPECT_EQ(server.started_ms, 5000);
+  EXPECT_EQ(hear(1500ms, "2"), 0u);
+  EXPECT_EQ(channel.wish(2s), Channel::Wish::none);
+}
+
+TEST_F(ChannelTest, AnEventCutOffIsAskedForAgain) {
+  EXPECT_EQ(channel.received(1s, event(2, "b", "Gone").substr(0, 40)).size(), 0u);
+  channel.ended(1s);
+  follow(1300ms);
+  EXPECT_EQ(asked, "resume 1\n");
+  EXPECT_EQ(hear(1400ms, event(2, "b", "Gone")), 1u) << "the part from before is forgotten";
+}
+
+TEST_F(ChannelTest, AGapIsAskedForAgain) {
+  EXPECT_EQ(hear(1s, event(3, "b", "Gone")), 0u);
+  EXPECT_EQ(channel.wish(1s), Channel::Wish::hang);
+  channel.ended(1s);
+  follow(1300ms);
+  EXPECT_EQ(hear(1400ms, "4"), 0u) << "its word names events never told";
+  EXPECT_EQ(channel.wish(1400ms), Channel::Wish::hang);
+}
+
+TEST_F(ChannelTest, SilenceEndsAConnectionThatStaysOpen) {
+  hear(1s, "1");
+  EXPECT_EQ(channel.wish(2s), Channel::Wish::none);
+  EXPECT_LE(channel.look_at(), 3s) << "it wants to be looked at in time";
+  EXPECT_EQ(channel.wish(2700ms), Channel::Wish::hang);
+  channel.ended(2700ms);
+  EXPECT_EQ(channel.wish(2700ms), Channel::Wish::dial) << "at once, as it stood a while";
+}
+
+TEST_F(ChannelTest, ADialThatNeverComesUpIsMadeAgain) {
+  channel.ended(1s);
+  channel.dialled(2s);
+  EXPECT_EQ(channel.wish(2500ms), Channel::Wish::none);
+  EXPECT_EQ(channel.wish(3100ms), Channel::Wish::hang);
+}
+
+TEST_F(ChannelTest, AnotherAddressTakesOverWhereThisOneStopped) {
+  hear(1s, event(2, "b", "Ready"));
+  channel.connect_to(Place{"10.2.0.1", 7070});
+  EXPECT_EQ(channel.wish(1s), Channel::Wish::none) << "the same address";
+  channel.connect_to(Place{"10.2.0.2", 7070});
+  EXPECT_EQ(channel.wish(1s), Channel::Wish::hang);
+  channel.ended(1s);
+  follow(1300ms);
+  EXPECT_EQ(channel.place()->address, "10.2.0.2");
+  EXPECT_EQ(asked, "resume 2\n");
+  const auto known = R"({"cursor":3,"cmds":[)" + event(2, "b", "Gone") + "," + event(3, "c", "Ready") + "]}";
+  EXPECT_EQ(channel.take_known(known).size(), 1u) << "what is known already is passed over";
+}
+
+TEST_F(ChannelTest, AWordThatCannotBeReadIsNoEvent) {
+  for (const auto* bad : {"noise", "[1]", R"({"cursor":2,"nodes":{}})",
+                          R"({"cursor":2,"nodes":{"endpoints":[{"name":"x","status":"Odd"}]}})"}) {
+    channel.connect_to(Place{"10.2.0.1", 7070});
+    EXPECT_EQ(hear(1s, bad), 0u);
+    EXPECT_EQ(channel.last(), 1);
+    EXPECT_EQ(channel.wish(1s), Channel::Wish::hang) << bad;
+    channel.ended(1s);
+    follow(2s);
+  }
+}
+
+const std::string settings =
+    R"("settings":{"Balancers":3,"Classes":[{"Aim":540000,"GiveUp":1800000,"Idempotency":"free","Name":"triage",)"
+    R"("Worth":1.0},{"Aim":290000,"GiveUp":1440000,"Idempotency":"single_shot","Name":"escalation"}],)"
+    R"("FamilyInfo":{"LowestRung":[0,1],"Places":12,"RatesKb":[241.0,413.0]},)"
+    R"("Limits":{"DialTimeout":125000,"MayProbe":true},"Me":1,"Zones":["hall-a","hall-b"]})";
+
+TEST(Start, NestedSettingsBecomeTheModulesTerms) {
+  const auto read = read_start(R"({"name":"n3","listen":"10.0.0.4:3868","seed":"8c1f30d27a5be964",)"
+                               R"("limits":{"sockets":256},"channel":"10.2.0.1:7070",)" + settings + "}");
+  const auto& terms = std::get<StartTerms>(read);
+  EXPECT_EQ(terms.seed, 0x8c1f30d27a5be964u);
+  EXPECT_EQ(terms.sockets, 256u);
+  EXPECT_EQ(terms.plans, (std::vector<std::string>{"triage", "escalation"}));
+  EXPECT_EQ(terms.abandon[1], 1440ms);
+  EXPECT_EQ(terms.halls[1], "hall-b");
+  EXPECT_EQ(terms.dial_limit, 125ms);
+  EXPECT_EQ(terms.site.plans[1].floor, 1);
+  EXPECT_TRUE(terms.site.plans[1].pay_at_setup);
+  EXPECT_FALSE(terms.site.plans[0].pay_at_setup);
+  EXPECT_EQ(terms.site.rung_kb, (std::vector<double>{241, 413}));
+  EXPECT_EQ(terms.site.cells, 12);
+  EXPECT_EQ(terms.site.own_number, 1);
+  EXPECT_TRUE(terms.site.may_probe);
+}
+
+TEST(Start, AFaultNamesItsPlace) {
+  const auto cause = [](const std::string& text) { return std::get<StartFault>(read_start(text)).cause; };
+  EXPECT_EQ(cause("x"), "expected a JSON object");
+  EXPECT_EQ(cause("{}"), "listen: expected address:port");
+  const std::string start = R"({"listen":"10.0.0.4:3868",)";
+  EXPECT_EQ(cause(start + R"("seed":"xyz"})"), "seed: expected hex digits");
+  EXPECT_EQ(cause(start + R"("seed":"1","channel":"nowhere"})"), "channel: expected address:port");
+  EXPECT_EQ(cause(start + R"("seed":"1","channel":"10.2.0.1:70"})"), "settings: expected an object");
+  EXPECT_EQ(cause(start + R"("seed":"1","channel":"10.2.0.1:70","settings":{"Me":"x"}})"),
+            "settings: setting Me=x: expected a number");
+}
+
+}  // namespace
+}  // namespace violettide::platform
--- a/tests/program/runtime_test.cpp
+++ b/tests/program/runtime_test.cpp
@@ -6,6 +6,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <map>
 #include <thread>
 
@@ -328,5 +332,32 @@
   EXPECT_NE(viewer.answer.find("Retry-After: "), std::string::npos);
 }
 
+TEST(Runtime, AHangupBringsTheFileAsItIsThen) {
+  class Waiting : public Bounded {
+   public:
+    std::string path, text;
+    void happened(Span, const Happening& what, std::vector<Act>& acts) override {
+      if (std::holds_alternative<Woken>(what)) {
+        std::ofstream(path) << "the second";
+        kill(getpid(), SIGHUP);
+      }
+      if (const auto* reread = std::get_if<Reread>(&what)) {
+        text = reread->text;
+        acts.push_back(Leave{});
+      }
+    }
+  };
+  Waiting core;
+  core.path = (std::filesystem::temp_directory_path() / "violettide-reread-XXXXXX").string();
+  close(mkstemp(core.path.data()));
+  std::ofstream(core.path) << "the first";
+  Loop loop(core, {}, {}, "");
+  loop.reread(core.path);
+  loop.run();
+  std::filesystem::remove(core.path);
+  EXPECT_FALSE(core.gave_up);
+  EXPECT_EQ(core.text, "the second");
+}
+
 }  // namespace
 }  // namespace violettide::runtime
