Ask for a load report with each test: without cause 1 servers only give a sign

Checked: notes on rungs of what was handed over all find their playbacks (146, 136, 198 of as many): ruled out. All 1632 answers to tests brought no report; their raw bytes hold the cause alone. Change: tests ask with cause 1; the test on the wire misses it without.

--- a/src/platform/wire/server.cpp
+++ b/src/platform/wire/server.cpp
@@ -171,7 +171,8 @@
 
 std::string release_bytes(CallId call, int cause) { return Message(release, call).because(cause).bytes(); }
 std::string released_bytes(CallId call) { return Message(released, call).bytes(); }
-std::string test_bytes(CallId call) { return Message(test, call).because(0).bytes(); }
+// A test with cause 0 asks for a sign alone; one with cause 1 is answered with a load report.
+std::string test_bytes(CallId call) { return Message(test, call).because(1).bytes(); }
 std::string rung_bytes(CallId call, int rung) {
   return Message(Type::rung, call).with(rung_code, std::to_string(rung)).bytes();
 }
--- a/tests/program/platform_wire_test.cpp
+++ b/tests/program/platform_wire_test.cpp
@@ -126,6 +126,7 @@
             message(1, parameter(129, "paid") + parameter(141, "title") + parameter(132, "1200") +
                            parameter(162, "3") + parameter(174, "desc")));
   EXPECT_EQ(release_bytes(7, 16), message(12, parameter(171, "\x10")));
+  EXPECT_EQ(test_bytes(7), message(52, parameter(171, "\1"))) << "cause 1 asks for a report";
   EXPECT_EQ(rung_bytes(7, 2), message(60, parameter(162, "2")));
 }
 
