End no viewer's connection before what has come on it is read

Change: what is to end is chosen first, rested 250 ms, and ends 20 ms later unless something whole came; a longer wait says the process stood still and chooses anew; who has spoken is ended in order. The flood's newcomers beyond 5/8 of the descriptors are refused.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include "siteterms/siteterms.h"
 
@@ -13,6 +14,9 @@
 
 constexpr Span sweep_every{100ms};
 constexpr Span first_word_limit{2s};    // for a viewer's connection to bring a whole message
+constexpr Span reading_time{20ms};      // from a viewer's connection being chosen to end to its end
+constexpr Span stood_still{60ms};       // a wait so long says that this process stood still meanwhile
+constexpr Span at_rest{250ms};          // a viewer who comes has written by then, and read its answer
 constexpr Span idle_viewer_limit{6s};   // for one that carries nothing; viewers close theirs after 4 s
 constexpr Span sign_wanted_after{2s};   // a server where playbacks play is dialled after such silence
 constexpr Span sign_limit{5500ms};      // and given up after so much, if no dial came up since
@@ -138,8 +142,8 @@
     case Ring::sweep:
       arm(sweep_every, Ring::sweep);
       return sweep();
-    case Ring::channel:
-      return;
+    case Ring::part:
+      return part();
     case Ring::stop:
       acts_->push_back(Leave{});
       return;
@@ -151,20 +155,14 @@
 // Guards against connections that say nothing, or nothing whole, or stay for good: they would hold every
 // descriptor. And against servers that went without a sign while playbacks play there.
 void Platform::sweep() {
-  std::vector<Link> over;
   for (auto& [link, viewer] : viewers_) {
     const bool carries = !viewer.open.empty() || viewer.standing > 0;
-    const bool half = !viewer.spoke || viewer.reader.midway();
-    if ((half && now_ - std::max(viewer.since, viewer.heard_at) > first_word_limit) ||
-        (!viewer.spoke && now_ - viewer.since > first_word_limit) ||
+    if ((!viewer.spoke && now_ - viewer.since > first_word_limit) ||
+        (viewer.reader.midway() && now_ - viewer.heard_at > first_word_limit) ||
         (!carries && now_ - viewer.heard_at > idle_viewer_limit))
-      over.push_back(link);
-  }
-  for (const auto link : over) {
-    viewer_gone(link);
-    acts_->push_back(Hang{link, true});
+      choose_to_part(link, viewer);
   }
-  over.clear();
+  std::vector<Link> over;
   for (auto& [number, link] : links_) {
     if (link.retired_at && link.tries.empty() && now_ - *link.retired_at > retired_stays) over.push_back(number);
   }
@@ -204,32 +202,60 @@
 // ---- connections ----
 
 void Platform::on(const Accepted& what) {
-  if (viewers_.size() >= most_viewers()) make_place();
-  if (viewers_.size() >= most_viewers()) {
+  if (viewers_.size() >= most_viewers() / 4 * 5) {
     acts_->push_back(Hang{what.link, false});
     return;
   }
   auto& viewer = viewers_[what.link];
   viewer.since = viewer.heard_at = now_;
+  if (viewers_.size() > most_viewers()) make_place();
 }
 
 // Usual viewers take a third at most; the rest of the descriptors are the servers' and the channel's.
 std::size_t Platform::most_viewers() const { return terms_.sockets / 2; }
 
 // Guards against floods of connections shutting the usual viewers out: the silent ones go first, then
-// those that carry nothing, the longest unheard of each.
+// those that carry nothing, the longest unheard of each; none that has just come or just been answered.
 void Platform::make_place() {
-  auto worst = viewers_.end();
-  const auto rank = [](const ViewerLink& viewer) { return std::pair(viewer.spoke, viewer.heard_at); };
-  for (auto it = viewers_.begin(); it != viewers_.end(); ++it) {
-    if (!it->second.open.empty() || it->second.standing > 0) continue;
-    if (worst == viewers_.end() || std::pair(rank(it->second), it->first) < std::pair(rank(worst->second), worst->first))
-      worst = it;
-  }
-  if (worst == viewers_.end()) return;
-  const auto link = worst->first;
-  viewer_gone(link);
-  acts_->push_back(Hang{link, false});
+  std::vector<std::tuple<bool, Span, Link>> idle;
+  const auto surplus = viewers_.size() - most_viewers() - std::min(parting_.size(), viewers_.size() - most_viewers());
+  for (const auto& [link, viewer] : viewers_) {
+    if (viewer.parts_at || !viewer.open.empty() || viewer.standing > 0) continue;
+    if (now_ - viewer.heard_at >= at_rest) idle.emplace_back(viewer.spoke, viewer.heard_at, link);
+  }
+  std::sort(idle.begin(), idle.end());
+  for (std::size_t i = 0; i < std::min(surplus, idle.size()); ++i) {
+    const auto link = std::get<Link>(idle[i]);
+    choose_to_part(link, viewers_.at(link));
+  }
+}
+
+// Guards against ending a connection with a request on it that is not read yet: after what has come by
+// then is read, it ends only if that was nothing whole.
+void Platform::choose_to_part(Link link, ViewerLink& viewer) {
+  if (viewer.parts_at) return;
+  viewer.parts_at = now_;
+  if (parting_.empty()) arm(reading_time, Ring::part);
+  parting_.push_back(link);
+}
+
+void Platform::part() {
+  std::vector<Link> kept;
+  for (const auto link : parting_) {
+    const auto found = viewers_.find(link);
+    if (found == viewers_.end() || !found->second.parts_at) continue;
+    const auto waited = now_ - *found->second.parts_at;
+    if (waited < reading_time || waited > stood_still) {  // what came meanwhile may be unread still
+      if (waited > stood_still) found->second.parts_at = now_;
+      kept.push_back(link);
+      continue;
+    }
+    const bool spoke = found->second.spoke;
+    viewer_gone(link);
+    acts_->push_back(Hang{link, spoke});  // in order, as its answer may be unread
+  }
+  parting_ = std::move(kept);
+  if (!parting_.empty()) arm(reading_time, Ring::part);
 }
 
 void Platform::on(const Connected& what) {
@@ -274,6 +300,7 @@
       if (const auto* unreadable = std::get_if<Unreadable>(&message))
         return turn_off(what.link, unreadable->call, unreadable->cause);
       still->second.spoke = true;
+      still->second.parts_at.reset();
       viewer_says(what.link, still->second, std::get<ViewerMessage>(message));
     }
     return;
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -45,6 +45,7 @@
     std::set<PlaybackId> open;  // set-ups without an answer
     std::size_t standing = 0;
     std::size_t unsent = 0;
+    std::optional<Span> parts_at;  // chosen to end then, unless it says something whole
   };
   struct ServerLink {
     ServerId server = 0;
@@ -86,7 +87,7 @@
     bool rung_unsaid = false;
     Wheel<std::uint64_t>::Handle limit;
   };
-  enum class Ring { module, try_limit, dial, probe, sweep, channel, stop };
+  enum class Ring { module, try_limit, dial, probe, sweep, part, stop };
   struct Bell {
     Ring ring = Ring::module;
     std::uint64_t of = 0;
@@ -118,6 +119,8 @@
   void withdraw(PlaybackId id);
   void viewer_gone(Link link);
   void make_place();
+  void choose_to_part(Link link, ViewerLink& viewer);
+  void part();
   void to_viewer(Link link, std::string line);
 
   // ---- servers ----
@@ -166,6 +169,7 @@
   bool deciding_ = false;
 
   std::unordered_map<Link, ViewerLink> viewers_;
+  std::vector<Link> parting_;
   Link last_viewer_ = 0;  // whose set-up played last
   std::unordered_map<Link, ServerLink> links_;
   Link next_link_ = 1;
