Name a fault of the settings in the adapter's own words again

Cause: since the settings' reading moved to its own package, its fault was no Malformed any more and the scenario runner aborted on wire_malformed. Change: the adapter turns one into the other at its door.

--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -160,8 +160,12 @@
   if (name == "ENLIST") {
     const auto seed = static_cast<std::uint64_t>(fields.integer("a seed"));
     instances_.erase(number);
-    instances_.emplace(std::piecewise_construct, std::forward_as_tuple(number),
-                       std::forward_as_tuple(clock_, seed, Pairs(fields.rest())));
+    try {
+      instances_.emplace(std::piecewise_construct, std::forward_as_tuple(number),
+                         std::forward_as_tuple(clock_, seed, Pairs(fields.rest())));
+    } catch (const SettingFault& fault) {
+      throw Malformed(fault.what());
+    }
     return;
   }
   if (name == "KILL") {
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -293,7 +293,7 @@
   }
   if (const auto found = viewers_.find(what.link); found != viewers_.end()) {
     found->second.heard_at = now_;
-    std::vector<std::variant<ViewerMessage, Unreadable>> messages;
+    std::vector<std::variant<Unreadable, ViewerMessage>> messages;
     found->second.reader.take(what.bytes, messages);
     for (auto& message : messages) {
       const auto still = viewers_.find(what.link);
--- a/src/platform/start.cpp
+++ b/src/platform/start.cpp
@@ -27,7 +27,9 @@
     for (std::size_t i = 0; i < value.size(); ++i) {
       objects = objects || value[i].is_object();
       if (value[i].is_object()) flatten(path + "." + std::to_string(i), value[i], pairs);
-      if (!value[i].is_object()) joined += (i ? "," : "") + plain(value[i]);
+      if (value[i].is_object()) continue;
+      if (i > 0) joined += ',';
+      joined += plain(value[i]);
     }
     objects ? pairs.put(path + ".count", std::to_string(value.size())) : pairs.put(path, joined);
   } else {
--- a/src/platform/wire/viewer.cpp
+++ b/src/platform/wire/viewer.cpp
@@ -73,7 +73,7 @@
   return value;
 }
 
-std::variant<ViewerMessage, Unreadable> read_viewer_line(std::string_view line) {
+std::variant<Unreadable, ViewerMessage> read_viewer_line(std::string_view line) {
   NamesSeen names;
   const Json::parser_callback_t see = [&](int, Json::parse_event_t event, Json& parsed) {
     return names(event, parsed);
@@ -113,7 +113,7 @@
 }
 
 void ViewerReader::take(std::string_view bytes,
-                        std::vector<std::variant<ViewerMessage, Unreadable>>& messages) {
+                        std::vector<std::variant<Unreadable, ViewerMessage>>& messages) {
   while (!lost_ && !bytes.empty()) {
     const auto cut = bytes.find('\n');
     const auto part = bytes.substr(0, cut);
@@ -132,9 +132,10 @@
     bytes.remove_prefix(cut + 1);
     held_ += part;
     if (!held_.empty() && held_ != "\r") {
-      messages.push_back(read_viewer_line(held_));
-      const auto* unreadable = std::get_if<Unreadable>(&messages.back());
+      auto read = read_viewer_line(held_);
+      const auto* unreadable = std::get_if<Unreadable>(&read);
       lost_ = unreadable && !unreadable->call;
+      messages.push_back(std::move(read));
     }
     held_.clear();
   }
--- a/src/platform/wire/viewer.h
+++ b/src/platform/wire/viewer.h
@@ -37,7 +37,7 @@
 class ViewerReader {
  public:
   // Appends what has come whole. After an Unreadable without an id nothing more is read.
-  void take(std::string_view bytes, std::vector<std::variant<ViewerMessage, Unreadable>>& messages);
+  void take(std::string_view bytes, std::vector<std::variant<Unreadable, ViewerMessage>>& messages);
   bool midway() const { return !held_.empty(); }  // in a message
 
  private:
@@ -45,7 +45,7 @@
   bool lost_ = false;
 };
 
-std::variant<ViewerMessage, Unreadable> read_viewer_line(std::string_view line);
+std::variant<Unreadable, ViewerMessage> read_viewer_line(std::string_view line);
 
 std::string accept_line(CallId call, std::string_view description);
 // `wait_ms`: how long to stay away; 0: not said.
--- a/tests/program/platform_wire_test.cpp
+++ b/tests/program/platform_wire_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using Messages = std::vector<std::variant<ViewerMessage, Unreadable>>;
+using Messages = std::vector<std::variant<Unreadable, ViewerMessage>>;
 
 const std::string offer =
     R"({"op":"offer","call":"9b1f03aa5c7e2d41","with":{"class":"paid","left":"1500","hint":82.5},)"
