Take no refusal beside an open connection for a server's death

Checked: each server given up was logged with whether a connection to it was open: four of six given up as refused had one. Looking for signs four times as often ended 179 calls too early, so ruled out as a mend. At fault was care_for in src/platform/platform.cpp: two refused dials ended all playbacks there, but a process that drains refuses new connections while its playbacks play on; one that dies resets its own. Change: a refusal counts only where no connection is open; what was given up is logged with its connection and silence.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -568,7 +568,8 @@
   const bool silent = now_ - server.heard_at > sign_wanted_after;
   if (server.link && !silent) return;
   const bool lost = now_ - server.heard_at > sign_limit;
-  const bool refused = server.refused >= refused_is_gone && now_ - server.first_refused >= between_signs / 2;
+  // A process that drains may refuse new connections while its playbacks play on; one that dies resets its own.
+  const bool refused = !server.link && server.refused >= refused_is_gone && now_ - server.first_refused >= between_signs / 2;
   const bool replaced = server.standing == Standing::gone && !server.link && server.place.port != 0;
   if (lost || refused || replaced)
     return cut_all(id, lost ? "no sign" : refused ? "refused" : "gone");
@@ -579,7 +580,9 @@
 
 void Platform::cut_all(ServerId id, const char* cause) {
   auto& server = servers_[id];
-  say("cut", {{"server", server.name}, {"cause", cause}, {"playbacks", static_cast<std::int64_t>(server.playing.size())}});
+  say("cut", {{"server", server.name}, {"cause", cause}, {"playbacks", static_cast<std::int64_t>(server.playing.size())},
+              {"connected", static_cast<std::int64_t>(server.link != 0)},
+              {"silent_ms", ms_of(now_ - server.heard_at)}});
   server.unsaid.clear();
   server.refused = 0;
   const auto playing = server.playing;
--- a/tests/program/platform_test.cpp
+++ b/tests/program/platform_test.cpp
@@ -478,6 +478,18 @@
   EXPECT_EQ(sent(viewer), end_line(call_number, 41));
 }
 
+// One that drains may refuse new connections long before its last playback ends.
+TEST_F(PlatformTest, ARefusalBesideAnOpenConnectionEndsNothing) {
+  const auto link = playing();
+  for (int i = 0; i < 4; ++i) {
+    pass(i == 0 ? 2100ms : 550ms);
+    happen(Ended{dialled("10.1.0.1"), Ending::refused});
+  }
+  EXPECT_EQ(core->held().playbacks, 1u);
+  hear(link, release(16));
+  EXPECT_EQ(sent(viewer), end_line(call_number, 16)) << "its own word ends it";
+}
+
 TEST_F(PlatformTest, AServerStartedAnewPlaysNothingOfBefore) {
   happen(Connected{channel_link});
   EXPECT_EQ(sent(channel_link), "resume 1\n");
