--- a/src/cli/platform.cpp
+++ b/src/cli/platform.cpp
@@ -1,4 +1,6 @@
 // The session manager on the operators' platform: told by the environment, driven by the runtime.
+#include "platform/platform.h"
+
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -8,7 +10,6 @@
 #include <sstream>
 
 #include "cli/commands.h"
-#include "platform/platform.h"
 #include "runtime/runtime.h"
 
 namespace violettide::cli {
--- a/src/platform/channel/channel.cpp
+++ b/src/platform/channel/channel.cpp
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t line_most = 4 * 1024 * 1024;  // a whole list of many thousand servers
-constexpr Span between_dials{200ms};  // against a place that hangs up on everybody at once
+constexpr Span between_dials{200ms};                // against a place that hangs up on everybody at once
 constexpr Span dial_limit{1s};
 constexpr Span silence_limit{1600ms};  // its word comes every second
 
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -13,17 +13,17 @@
 using namespace std::chrono_literals;
 
 constexpr Span sweep_every{100ms};
-constexpr Span first_word_limit{2s};    // for a viewer's connection to bring a whole message
-constexpr Span reading_time{20ms};      // from a viewer's connection being chosen to end to its end
-constexpr Span stood_still{60ms};       // a wait so long says that this process stood still meanwhile
-constexpr Span at_rest{250ms};          // a viewer who comes has written by then, and read its answer
-constexpr Span idle_viewer_limit{6s};   // for one that carries nothing; viewers close theirs after 4 s
-constexpr Span sign_wanted_after{2s};   // a server where playbacks play is dialled after such silence
-constexpr Span sign_limit{5500ms};      // and given up after so much, if no dial came up since
+constexpr Span first_word_limit{2s};   // for a viewer's connection to bring a whole message
+constexpr Span reading_time{20ms};     // from a viewer's connection being chosen to end to its end
+constexpr Span stood_still{60ms};      // a wait so long says that this process stood still meanwhile
+constexpr Span at_rest{250ms};         // a viewer who comes has written by then, and read its answer
+constexpr Span idle_viewer_limit{6s};  // for one that carries nothing; viewers close theirs after 4 s
+constexpr Span sign_wanted_after{2s};  // a server where playbacks play is dialled after such silence
+constexpr Span sign_limit{5500ms};     // and given up after so much, if no dial came up since
 constexpr Span between_signs{500ms};
-constexpr Span retired_stays{1s};       // for what the server says on the old connection meanwhile
+constexpr Span retired_stays{1s};  // for what the server says on the old connection meanwhile
 constexpr Span stop_at_least{3s};
-constexpr Span stop_quiet{800ms};       // requests still come for so long after the word
+constexpr Span stop_quiet{800ms};  // requests still come for so long after the word
 constexpr std::size_t most_unsent = 256 * 1024;
 constexpr std::size_t description_most = 8 * 1024;
 constexpr std::size_t name_most = 256;
@@ -165,7 +165,8 @@
   }
   std::vector<Link> over;
   for (auto& [number, link] : links_) {
-    if (link.retired_at && link.tries.empty() && now_ - *link.retired_at > retired_stays) over.push_back(number);
+    if (link.retired_at && link.tries.empty() && now_ - *link.retired_at > retired_stays)
+      over.push_back(number);
   }
   for (const auto link : over) {
     drop_server_link(link, Outcome::reset);
@@ -175,9 +176,8 @@
     if (!servers_[id].playing.empty() || !servers_[id].unsaid.empty()) care_for(id);
   }
   if (!stop_asked_ || now_ - *stop_asked_ < stop_quiet) return;
-  const bool open = std::any_of(playbacks_.begin(), playbacks_.end(), [](const auto& one) {
-    return one.second.state != Playback::State::playing;
-  });
+  const bool open = std::any_of(playbacks_.begin(), playbacks_.end(),
+                                [](const auto& one) { return one.second.state != Playback::State::playing; });
   if (!open && playbacks_.empty()) acts_->push_back(Leave{});
 }
 
@@ -219,7 +219,8 @@
 // those that carry nothing, the longest unheard of each; none that has just come or just been answered.
 void Platform::make_place() {
   std::vector<std::tuple<bool, Span, Link>> idle;
-  const auto surplus = viewers_.size() - most_viewers() - std::min(parting_.size(), viewers_.size() - most_viewers());
+  const auto surplus =
+      viewers_.size() - most_viewers() - std::min(parting_.size(), viewers_.size() - most_viewers());
   for (const auto& [link, viewer] : viewers_) {
     if (viewer.parts_at || !viewer.open.empty() || viewer.standing > 0) continue;
     if (now_ - viewer.heard_at >= at_rest) idle.emplace_back(viewer.spoke, viewer.heard_at, link);
@@ -280,7 +281,8 @@
   server.unsaid.clear();
   for (const auto id : server.playing) {
     auto& playback = playbacks_.at(id);
-    if (std::exchange(playback.rung_unsaid, false)) to_server(what.link, rung_bytes(playback.call, playback.rung));
+    if (std::exchange(playback.rung_unsaid, false))
+      to_server(what.link, rung_bytes(playback.call, playback.rung));
   }
   for (const auto& [test, of] : link.tests) to_server(what.link, test_bytes(test));
   for (const auto id : link.tries) send_try(id, playbacks_.at(id));
@@ -568,11 +570,12 @@
   const bool silent = now_ - server.heard_at > sign_wanted_after;
   if (server.link && !silent) return;
   const bool lost = now_ - server.heard_at > sign_limit;
-  // A process that drains may refuse new connections while its playbacks play on; one that dies resets its own.
-  const bool refused = !server.link && server.refused >= refused_is_gone && now_ - server.first_refused >= between_signs / 2;
+  // A process that drains may refuse new connections while its playbacks play on; one that dies resets its
+  // own.
+  const bool refused =
+      !server.link && server.refused >= refused_is_gone && now_ - server.first_refused >= between_signs / 2;
   const bool replaced = server.standing == Standing::gone && !server.link && server.place.port != 0;
-  if (lost || refused || replaced)
-    return cut_all(id, lost ? "no sign" : refused ? "refused" : "gone");
+  if (lost || refused || replaced) return cut_all(id, lost ? "no sign" : refused ? "refused" : "gone");
   if (server.dialled || now_ < server.next_dial) return;
   server.next_dial = now_ + between_signs;
   dial(id);
@@ -580,7 +583,9 @@
 
 void Platform::cut_all(ServerId id, const char* cause) {
   auto& server = servers_[id];
-  say("cut", {{"server", server.name}, {"cause", cause}, {"playbacks", static_cast<std::int64_t>(server.playing.size())},
+  say("cut", {{"server", server.name},
+              {"cause", cause},
+              {"playbacks", static_cast<std::int64_t>(server.playing.size())},
               {"connected", static_cast<std::int64_t>(server.link != 0)},
               {"silent_ms", ms_of(now_ - server.heard_at)}});
   server.unsaid.clear();
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -113,7 +113,8 @@
   // ---- viewers ----
   void viewer_says(Link link, ViewerLink& viewer, ViewerMessage& message);
   void take_offer(Link link, ViewerLink& viewer, ViewerMessage& message);
-  std::optional<std::string> read_offer(const ViewerMessage& message, Request& request, std::string& at) const;
+  std::optional<std::string> read_offer(const ViewerMessage& message, Request& request,
+                                        std::string& at) const;
   void turn_off(Link link, std::optional<CallId> call, const std::string& cause);
   void take_end(Link link, CallId call);
   void withdraw(PlaybackId id);
@@ -154,7 +155,9 @@
   void tend_channel();
 
   Wheel<std::uint64_t>::Handle arm(Span in, Ring ring, std::uint64_t of = 0);
-  void say(std::string event, std::vector<Field> fields) { acts_->push_back(Say{std::move(event), std::move(fields)}); }
+  void say(std::string event, std::vector<Field> fields) {
+    acts_->push_back(Say{std::move(event), std::move(fields)});
+  }
   std::size_t most_viewers() const;
 
   StartTerms terms_;
--- a/src/platform/start.cpp
+++ b/src/platform/start.cpp
@@ -54,7 +54,8 @@
   terms.listen = *listen;
   const auto seed = text_of(json, "seed");
   const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), terms.seed, 16);
-  if (error != std::errc{} || end != seed.data() + seed.size()) return StartFault{"seed: expected hex digits"};
+  if (error != std::errc{} || end != seed.data() + seed.size())
+    return StartFault{"seed: expected hex digits"};
   if (const auto limits = json.find("limits"); limits != json.end() && limits->is_object())
     terms.sockets = static_cast<std::size_t>(std::max(64.0, limits->value("sockets", 1024.0)));
   terms.channel = read_place(text_of(json, "channel"));
--- a/src/platform/wire/server.cpp
+++ b/src/platform/wire/server.cpp
@@ -67,14 +67,22 @@
 
 ServerMessage::Kind kind_of(std::uint8_t type) {
   switch (type) {
-    case ringing: return ServerMessage::Kind::ringing;
-    case accept: return ServerMessage::Kind::accept;
-    case release: return ServerMessage::Kind::release;
-    case released: return ServerMessage::Kind::released;
-    case note: return ServerMessage::Kind::note;
-    case test: return ServerMessage::Kind::test;
-    case tested: return ServerMessage::Kind::tested;
-    default: return ServerMessage::Kind::other;
+    case ringing:
+      return ServerMessage::Kind::ringing;
+    case accept:
+      return ServerMessage::Kind::accept;
+    case release:
+      return ServerMessage::Kind::release;
+    case released:
+      return ServerMessage::Kind::released;
+    case note:
+      return ServerMessage::Kind::note;
+    case test:
+      return ServerMessage::Kind::test;
+    case tested:
+      return ServerMessage::Kind::tested;
+    default:
+      return ServerMessage::Kind::other;
   }
 }
 
--- a/src/platform/wire/server.h
+++ b/src/platform/wire/server.h
@@ -16,7 +16,6 @@
 
 // Causes of a release, as the platform numbers them.
 namespace cause {
-constexpr int gone = 0;
 constexpr int ended = 16;
 constexpr int cancelled = 31;
 constexpr int full = 34;
--- a/src/runtime/runtime.cpp
+++ b/src/runtime/runtime.cpp
@@ -61,7 +61,8 @@
     }
     uv_signal_init(&loop_, &hangup_);
     hangup_.data = this;
-    uv_signal_start(&hangup_, [](uv_signal_t* h, int) { of(h)->hung_up(); }, SIGHUP);
+    uv_signal_start(
+        &hangup_, [](uv_signal_t* h, int) { of(h)->hung_up(); }, SIGHUP);
     doors_.resize(places_.size());
     try {
       for (std::size_t i = 0; i < places_.size(); ++i) open(static_cast<int>(i));
@@ -159,7 +160,8 @@
     std::ostringstream text;
     text << file.rdbuf();
     if (file) return deliver(Reread{text.str()});
-    if (said_) said_(now(), Say{"reread_failed", {{"file", reread_}, {"cause", std::string(std::strerror(errno))}}});
+    if (said_)
+      said_(now(), Say{"reread_failed", {{"file", reread_}, {"cause", std::string(std::strerror(errno))}}});
   }
 
   void perform(std::vector<Act>& acts) {
--- a/tests/program/platform_test.cpp
+++ b/tests/program/platform_test.cpp
@@ -1,8 +1,9 @@
 // The session manager on the operators' platform as a core: happenings in, acts out, a script in the
 // module's place. Each test tells what passes on the sockets and what the module hears of it.
+#include "platform/platform.h"
+
 #include <gtest/gtest.h>
 
-#include "platform/platform.h"
 #include "scripted.h"
 
 namespace violettide::platform {
@@ -16,10 +17,11 @@
 const std::string call = "9b1f03aa5c7e2d41";
 constexpr CallId call_number = 0x9b1f03aa5c7e2d41;
 
-std::string offer(const std::string& id = call, const std::string& left = "1500", const std::string& more = "",
-                  const std::string& extras = "home:0;copies:2;top:1") {
+std::string offer(const std::string& id = call, const std::string& left = "1500",
+                  const std::string& more = "", const std::string& extras = "home:0;copies:2;top:1") {
   return R"({"op":"offer","call":")" + id + R"(","with":{"class":"triage","left":")" + left +
-         R"(","key":"t1","hint":"8000","extras":")" + extras + "\"" + more + R"(},"desc":"tag\r\nc=IN\r\n"})" + "\n";
+         R"(","key":"t1","hint":"8000","extras":")" + extras + "\"" + more +
+         R"(},"desc":"tag\r\nc=IN\r\n"})" + "\n";
 }
 std::string end(const std::string& id = call) {
   return R"({"op":"end","call":")" + id + R"(","with":{},"why":16})" + "\n";
@@ -57,9 +59,10 @@
     terms.dial_limit = 250ms;
     terms.channel = Place{"10.2.0.1", 7070};
     terms.known = R"({"cursor":1,"cmds":[)" + listed(1, "Ready", "Ready", true) + "]}";
-    core = std::make_unique<Platform>(terms, std::make_unique<Script>(&told, [this](Span, const Event& event) {
-      return says ? says(event) : std::vector<Order>{};
-    }));
+    core =
+        std::make_unique<Platform>(terms, std::make_unique<Script>(&told, [this](Span, const Event& event) {
+                                     return says ? says(event) : std::vector<Order>{};
+                                   }));
     acts.clear();
     happen(Woken{});
     channel_link = dialled("10.2.0.1");
@@ -69,11 +72,12 @@
     const auto entry = [](const std::string& name, const std::string& at, const std::string& status,
                           const std::string& since) {
       return R"({"name":")" + name + R"(","address":")" + at +
-             R"(:3868","zone":"h","type":"std","group":0,"status":")" + status + R"(","weight":1,"since_ms":)" +
-             since + "}";
+             R"(:3868","zone":"h","type":"std","group":0,"status":")" + status +
+             R"(","weight":1,"since_ms":)" + since + "}";
     };
-    return R"({"cursor":)" + std::to_string(number) + R"(,"nodes":{"snapshot":)" + (whole ? "true" : "false") +
-           R"(,"endpoints":[)" + entry("s-a", "10.1.0.1", a, a_since) + "," + entry("s-b", "10.1.0.2", b, "0") + "]}}";
+    return R"({"cursor":)" + std::to_string(number) + R"(,"nodes":{"snapshot":)" +
+           (whole ? "true" : "false") + R"(,"endpoints":[)" + entry("s-a", "10.1.0.1", a, a_since) + "," +
+           entry("s-b", "10.1.0.2", b, "0") + "]}}";
   }
 
   void happen(const Happening& what) { core->handle(now, what, acts); }
@@ -114,7 +118,8 @@
     });
   }
   bool left() const {
-    return std::any_of(acts.begin(), acts.end(), [](const Act& act) { return std::holds_alternative<Leave>(act); });
+    return std::any_of(acts.begin(), acts.end(),
+                       [](const Act& act) { return std::holds_alternative<Leave>(act); });
   }
   Link connect(const std::string& address) {
     const auto link = dialled(address);
@@ -187,8 +192,11 @@
 }
 
 TEST_F(PlatformTest, CausesBeforeTheAnswerMeanWhatThePlatformSays) {
-  const std::vector<std::pair<int, Outcome>> means{
-      {34, Outcome::full}, {47, Outcome::error}, {102, Outcome::not_sent}, {41, Outcome::reset}, {99, Outcome::reset}};
+  const std::vector<std::pair<int, Outcome>> means{{34, Outcome::full},
+                                                   {47, Outcome::error},
+                                                   {102, Outcome::not_sent},
+                                                   {41, Outcome::reset},
+                                                   {99, Outcome::reset}};
   always_at(0);
   come();
   hear(viewer, offer());
@@ -325,10 +333,11 @@
 TEST_F(PlatformTest, OffersOutOfBoundsAreTurnedOffAndReachNobody) {
   int number = 0;
   for (const auto& bad :
-       {offer(call, "0"), offer(call, "-5"), offer(call, "3700"), offer(call, "1e9"), offer(call, "soon"), offer(call, "nan"),
-        offer(call, "1500", R"(,"class":"none")"), offer(call, "1500", "", "home:2;copies:2;top:1"),
-        offer(call, "1500", "", "home:0;copies:3;top:1"), offer(call, "1500", "", "home:0;copies:2;top:9"),
-        offer(call, "1500", "", "home:0"), offer(call, "1500", "", "home"),
+       {offer(call, "0"), offer(call, "-5"), offer(call, "3700"), offer(call, "1e9"), offer(call, "soon"),
+        offer(call, "nan"), offer(call, "1500", R"(,"class":"none")"),
+        offer(call, "1500", "", "home:2;copies:2;top:1"), offer(call, "1500", "", "home:0;copies:3;top:1"),
+        offer(call, "1500", "", "home:0;copies:2;top:9"), offer(call, "1500", "", "home:0"),
+        offer(call, "1500", "", "home"),
         std::string(R"({"op":"offer","call":")" + call + R"(","with":{}})" + "\n"),
         std::string(R"({"op":"dance","call":")" + call + R"("})" + "\n")}) {
     const Link link = viewer + static_cast<Link>(++number);
@@ -354,8 +363,11 @@
   come();
   hear(viewer, offer());
   const auto link = connect("10.1.0.1");
-  hear(viewer, offer("00000000000000aa", "0") + R"({"op":"dance","call":"00000000000000ab"})" "\n" +
-                   R"({"call":"00000000000000ac"})" "\n");
+  hear(viewer, offer("00000000000000aa", "0") +
+                   R"({"op":"dance","call":"00000000000000ab"})"
+                   "\n" +
+                   R"({"call":"00000000000000ac"})"
+                   "\n");
   EXPECT_EQ(sent(viewer), end_line(0xaa, cause::unusable) + end_line(0xab, cause::unusable) +
                               end_line(0xac, cause::unusable));
   EXPECT_FALSE(hung(viewer));
@@ -391,7 +403,8 @@
   come(viewer + 1);
   come(viewer + 2);
   hear(viewer + 1, "{\"op\":");
-  hear(viewer + 2, R"({"op":"test","call":"0000000000000001","with":{},"why":0})" "\n");
+  hear(viewer + 2, R"({"op":"test","call":"0000000000000001","with":{},"why":0})"
+                   "\n");
   EXPECT_EQ(sent(viewer + 2), tested_line(1, true));
   for (int i = 0; i < 15; ++i) {
     pass(200ms);
@@ -407,7 +420,8 @@
 TEST_F(PlatformTest, AFloodOfConnectionsShutsNobodyOutWhoHasSpoken) {
   make(64);
   come();
-  hear(viewer, R"({"op":"test","call":"0000000000000001","with":{},"why":0})" "\n");
+  hear(viewer, R"({"op":"test","call":"0000000000000001","with":{},"why":0})"
+               "\n");
   now += 300ms;
   for (Link link = viewer + 1; link < viewer + 200; ++link) {
     come(link);
@@ -422,7 +436,8 @@
 // What came while this process stood still is read only after its timers have rung.
 TEST_F(PlatformTest, NoConnectionIsEndedWithARequestOnItThatIsNotReadYet) {
   make(64);
-  const auto words = R"({"op":"test","call":"0000000000000001","with":{},"why":0})" "\n";
+  const auto words = R"({"op":"test","call":"0000000000000001","with":{},"why":0})"
+                     "\n";
   for (Link link = viewer; link < viewer + 33; ++link) {
     come(link);
     hear(link, words);
@@ -521,7 +536,8 @@
   const auto link = connect("10.1.0.2");
   const auto test = sent(link);
   ASSERT_EQ(test.size(), 2u + 9 + 4);
-  const auto reply = std::string(1, 53) + test.substr(3, 8) + parameter(171, "\1") + parameter(156, "busy:0.25");
+  const auto reply =
+      std::string(1, 53) + test.substr(3, 8) + parameter(171, "\1") + parameter(156, "busy:0.25");
   hear(link, std::string(1, '\0') + static_cast<char>(reply.size()) + reply);
   ASSERT_EQ(of_kind<ProbeEnded>(told).size(), 1u);
   EXPECT_TRUE(of_kind<ProbeEnded>(told)[0].answered);
@@ -538,7 +554,8 @@
   hear(viewer, offer());
   const auto link = connect("10.1.0.1");
   happen(StopAsked{});
-  hear(viewer, R"({"op":"test","call":"0000000000000001","with":{},"why":0})" "\n");
+  hear(viewer, R"({"op":"test","call":"0000000000000001","with":{},"why":0})"
+               "\n");
   EXPECT_EQ(sent(viewer), tested_line(1, false)) << "the front is to take it out";
   pass(200ms);
   hear(link, accept());
--- a/tests/program/platform_wire_test.cpp
+++ b/tests/program/platform_wire_test.cpp
@@ -69,14 +69,19 @@
 TEST(ViewerLines, FiguresAreWholeAndPlain) {
   EXPECT_EQ(figure("1500"), 1500);
   EXPECT_EQ(figure("8200.5"), 8200.5);
-  for (const auto* none : {"", "-1", "nan", "inf", "1e999", "12ms", " 1", "0x10"}) EXPECT_FALSE(figure(none)) << none;
+  for (const auto* none : {"", "-1", "nan", "inf", "1e999", "12ms", " 1", "0x10"})
+    EXPECT_FALSE(figure(none)) << none;
 }
 
 TEST(ViewerLines, AnswersAreOneObjectALine) {
-  EXPECT_EQ(end_line(0x1f, 42, 500), R"({"op":"end","call":"000000000000001f","with":{"wait":"500"},"why":42})" "\n");
-  EXPECT_EQ(end_line(0x1f, 41), R"({"op":"end","call":"000000000000001f","with":{},"why":41})" "\n");
+  EXPECT_EQ(end_line(0x1f, 42, 500),
+            R"({"op":"end","call":"000000000000001f","with":{"wait":"500"},"why":42})"
+            "\n");
+  EXPECT_EQ(end_line(0x1f, 41), R"({"op":"end","call":"000000000000001f","with":{},"why":41})"
+                                "\n");
   EXPECT_EQ(accept_line(0x1f, "a\r\nb"),
-            R"({"op":"accept","call":"000000000000001f","with":{},"desc":"a\r\nb"})" "\n");
+            R"({"op":"accept","call":"000000000000001f","with":{},"desc":"a\r\nb"})"
+            "\n");
 }
 
 std::string parameter(int code, const std::string& value) {
@@ -110,8 +115,8 @@
 TEST(ServerMessages, WhatCannotBeReadIsToldOnce) {
   for (const auto& spoilt :
        {std::string("\xff\xff\x09", 3), std::string("\0\3abc", 5), message(9, ""), message(12, ""),
-        message(12, parameter(171, "ab")), message(200, ""), message(9, std::string("\xae\x40\0x", 4)), message(9, "\xae"),
-        message(44, parameter(165, "soon")), message(53, parameter(156, "busy"))}) {
+        message(12, parameter(171, "ab")), message(200, ""), message(9, std::string("\xae\x40\0x", 4)),
+        message(9, "\xae"), message(44, parameter(165, "soon")), message(53, parameter(156, "busy"))}) {
     ServerReader reader;
     std::vector<ServerMessage> read;
     EXPECT_TRUE(reader.take(message(16, "") + spoilt, read));
@@ -156,7 +161,8 @@
 
 TEST_F(ChannelTest, AsksForWhatComesAfterTheLastEventAndTakesEachOnce) {
   EXPECT_EQ(asked, "resume 1\n");
-  const auto news = channel.received(1s, event(2, "b", "Terminating") + "\n" + event(2, "b", "Terminating") + "\n");
+  const auto news =
+      channel.received(1s, event(2, "b", "Terminating") + "\n" + event(2, "b", "Terminating") + "\n");
   ASSERT_EQ(news.size(), 1u) << "one is told twice";
   const auto& server = news[0].servers.at(0);
   EXPECT_EQ(server.name, "b");
@@ -237,7 +243,8 @@
 
 TEST(Start, NestedSettingsBecomeTheModulesTerms) {
   const auto read = read_start(R"({"name":"n3","listen":"10.0.0.4:3868","seed":"8c1f30d27a5be964",)"
-                               R"("limits":{"sockets":256},"channel":"10.2.0.1:7070",)" + settings + "}");
+                               R"("limits":{"sockets":256},"channel":"10.2.0.1:7070",)" +
+                               settings + "}");
   const auto& terms = std::get<StartTerms>(read);
   EXPECT_EQ(terms.seed, 0x8c1f30d27a5be964u);
   EXPECT_EQ(terms.sockets, 256u);
