--- a/tests/program/platform_test.cpp
+++ b/tests/program/platform_test.cpp
@@ -433,6 +433,15 @@
   EXPECT_LE(core->held().viewer_links, 40u);
 }
 
+// All at once, so that none has rested: descriptors are left for the servers and the channel.
+TEST_F(PlatformTest, BeyondFiveEighthsOfTheDescriptorsNewcomersAreRefused) {
+  make(64);
+  for (Link link = viewer; link < viewer + 50; ++link) come(link);
+  EXPECT_EQ(core->held().viewer_links, 40u);
+  EXPECT_FALSE(hung(viewer + 39));
+  EXPECT_TRUE(hung(viewer + 40));
+}
+
 // What came while this process stood still is read only after its timers have rung.
 TEST_F(PlatformTest, NoConnectionIsEndedWithARequestOnItThatIsNotReadYet) {
   make(64);
