--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -623,9 +623,13 @@
   }
   if (message.kind == ServerMessage::Kind::release) return release_heard(number, message);
   const auto known = calls_.find(message.call);
-  if (known == calls_.end()) return;
+  // Guards against what a server started after its try was given up playing there for nobody.
+  const bool for_nobody = known == calls_.end() || playbacks_.at(known->second).server != id ||
+                          playbacks_.at(known->second).state == Playback::State::waiting;
+  if (for_nobody && message.kind == ServerMessage::Kind::accept)
+    return to_server(number, release_bytes(message.call, cause::ended));
+  if (for_nobody) return;
   auto& playback = playbacks_.at(known->second);
-  if (playback.server != id || playback.state == Playback::State::waiting) return;
   if (message.kind == ServerMessage::Kind::note) {
     Note note;
     note.playback = known->second;
--- a/tests/program/platform_test.cpp
+++ b/tests/program/platform_test.cpp
@@ -223,6 +223,7 @@
   EXPECT_EQ(sent(viewer), end_line(call_number, cause::rejected, 400));
   hear(link, accept());
   EXPECT_EQ(sent(viewer), "") << "an answer after its time is none";
+  EXPECT_EQ(sent(link), release_bytes(call_number, 16)) << "what stands for nobody is released";
   EXPECT_TRUE(of_kind<Started>(told).empty());
 }
 
@@ -585,6 +586,39 @@
   EXPECT_TRUE(left());
 }
 
+TEST_F(PlatformTest, AReaderWhoReadsNothingIsEnded) {
+  come();
+  const auto test = R"({"op":"test","call":"0000000000000001","with":{},"why":0})"
+                    "\n";
+  for (int i = 0; i < 5000; ++i) hear(viewer, test);
+  EXPECT_TRUE(hung(viewer));
+}
+
+TEST_F(PlatformTest, ALongDayOfNewNamesLeavesNothingBehind) {
+  always_at(0);
+  come();
+  Link link = 0;
+  std::size_t timers = 0;
+  for (int i = 0; i < 20'000; ++i) {
+    tries = 0;
+    const CallId id = 1'000'000 + i;
+    auto words = offer(call_text(id));
+    words.replace(words.find("\"t1\""), 4, "\"t" + std::to_string(i) + "\"");
+    hear(viewer, words);
+    if (i == 0) link = connect("10.1.0.1");
+    if (i % 3 != 0) hear(link, accept(id));
+    i % 2 == 0 ? hear(link, release(i % 3 == 0 ? 34 : 16, id)) : hear(viewer, end(call_text(id)));
+    acts.clear();
+    happen(Flushed{viewer});  // it reads all it is sent
+    pass(1ms);
+    if (i == 1000) timers = core->held().timers;
+  }
+  EXPECT_EQ(core->held().playbacks, 0u);
+  EXPECT_EQ(core->held().titles, 0u);
+  EXPECT_LE(core->held().timers, timers + 10);
+  EXPECT_EQ(core->held().viewer_links, 1u);
+}
+
 TEST_F(PlatformTest, AnotherConfigurationMovesTheChannelAndOneThatCannotBeReadMovesNothing) {
   happen(Connected{channel_link});
   happen(Reread{"half of a fi"});
