Read the change once more: SIGHUP ends who rereads nothing, numbers read in one place

Cause: the handler of SIGHUP kept every other sub-command alive past its terminal; numbers, reports, the log line and files were read or written a second time; offers turned off said no cause; dead and derivable state stood in the core.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	cmake -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
 	cmake --build $(BUILD) -j$(JOBS)
 
-# As the operators' bench builds it: no packages, the adapter alone.
+# The module's adapter alone, with its scenarios: no packages.
 adapter:
 	cmake -S . -B build/adapter -DCMAKE_BUILD_TYPE=Release -DVIOLETTIDE_PROGRAM=OFF -DVIOLETTIDE_TESTS=ON
 	cmake --build build/adapter -j$(JOBS)
--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -1,25 +1,7 @@
 #include "benchlink/wire.h"
 
-#include <charconv>
-#include <cmath>
-
 namespace violettide::benchlink {
 
-namespace {
-
-template <typename Number>
-std::optional<Number> parse(std::string_view text) {
-  Number value{};
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
-  if constexpr (std::is_floating_point_v<Number>) {
-    if (!std::isfinite(value)) return std::nullopt;
-  }
-  return value;
-}
-
-}  // namespace
-
 Fields::Fields(std::string_view line) : line_(line), left_(line), more_(true) {
   name_ = text("a message name");
 }
@@ -41,7 +23,7 @@
 std::optional<std::int64_t> Fields::maybe_integer(const char* what) {
   const auto part = text(what);
   if (part == "-") return std::nullopt;
-  const auto value = parse<std::int64_t>(part);
+  const auto value = read_number<std::int64_t>(part);
   if (!value) expected(what);
   return value;
 }
@@ -55,7 +37,7 @@
 std::optional<double> Fields::maybe_number(const char* what) {
   const auto part = text(what);
   if (part == "-") return std::nullopt;
-  const auto value = parse<double>(part);
+  const auto value = read_number<double>(part);
   if (!value) expected(what);
   return value;
 }
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -3,10 +3,13 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "seams/seams.h"
+
 namespace violettide::cli {
 
 struct ServeWords {
@@ -43,6 +46,8 @@
   std::vector<std::string> traces;
 };
 int run_audit(const AuditWords& words);
+// One JSON object a line: time, who, event, and the event's typed fields; without a file on standard error.
+std::function<void(Span, const Say&)> log_to(const std::string& file, const std::string& who);
 int run_check(const std::string& file);
 int run_platform();  // told by GW_NAME, GW_LISTEN and GW_CONFIG
 
--- a/src/cli/services.cpp
+++ b/src/cli/services.cpp
@@ -31,7 +31,8 @@
   return 1;
 }
 
-// One JSON object a line: time, who, event, and the event's typed fields.
+}  // namespace
+
 std::function<void(Span, const Say&)> log_to(const std::string& file, const std::string& who) {
   auto logger =
       file.empty()
@@ -48,6 +49,8 @@
   };
 }
 
+namespace {
+
 void write_ports(const std::string& path, const std::vector<std::uint16_t>& ports) {
   if (path.empty()) return;
   {
--- a/src/platform/channel/channel.cpp
+++ b/src/platform/channel/channel.cpp
@@ -1,9 +1,10 @@
 #include "platform/channel/channel.h"
 
-#include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "siteterms/siteterms.h"
+
 namespace violettide::platform {
 
 namespace {
@@ -86,11 +87,9 @@
 std::optional<Place> read_place(std::string_view text) {
   const auto colon = text.rfind(':');
   if (colon == std::string_view::npos || colon == 0) return std::nullopt;
-  const auto port = text.substr(colon + 1);
-  Place place{std::string(text.substr(0, colon)), 0};
-  const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), place.port);
-  if (error != std::errc{} || end != port.data() + port.size() || place.port == 0) return std::nullopt;
-  return place;
+  const auto port = read_number<std::uint16_t>(text.substr(colon + 1));
+  if (!port || *port == 0) return std::nullopt;
+  return Place{std::string(text.substr(0, colon)), *port};
 }
 
 std::vector<ListNews> Channel::take_known(std::string_view text) {
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -21,7 +21,8 @@
 constexpr Span sign_wanted_after{2s};  // a server where playbacks play is dialled after such silence
 constexpr Span sign_limit{5500ms};     // and given up after so much, if no dial came up since
 constexpr Span between_signs{500ms};
-constexpr Span retired_stays{1s};  // for what the server says on the old connection meanwhile
+constexpr Span retired_stays{1s};     // for what the server says on the old connection meanwhile
+constexpr Span turned_off_every{1s};  // said so often at most, against floods in the log
 constexpr Span stop_at_least{3s};
 constexpr Span stop_quiet{800ms};  // requests still come for so long after the word
 constexpr std::size_t most_unsent = 256 * 1024;
@@ -131,11 +132,11 @@
     }
     case Ring::probe:
       for (auto& [number, link] : links_) {
-        const auto test = std::find_if(link.tests.begin(), link.tests.end(), [&](const auto& one) {
-          return (one.first & ((std::uint64_t{1} << ring_shift) - 1)) == bell.of;
+        const auto test = std::find_if(link.tests.begin(), link.tests.end(), [&](const auto one) {
+          return (one & ((std::uint64_t{1} << ring_shift) - 1)) == bell.of;
         });
         if (test == link.tests.end()) continue;
-        const auto server = test->second;
+        const auto server = link.server;
         link.tests.erase(test);
         return feed(ProbeEnded{server, false, {}});
       }
@@ -145,6 +146,8 @@
       return sweep();
     case Ring::part:
       return part();
+    case Ring::channel:
+      return;  // tended with every happening
     case Ring::stop:
       acts_->push_back(Leave{});
       return;
@@ -176,9 +179,7 @@
     if (!servers_[id].playing.empty() || !servers_[id].unsaid.empty()) care_for(id);
   }
   if (!stop_asked_ || now_ - *stop_asked_ < stop_quiet) return;
-  const bool open = std::any_of(playbacks_.begin(), playbacks_.end(),
-                                [](const auto& one) { return one.second.state != Playback::State::playing; });
-  if (!open && playbacks_.empty()) acts_->push_back(Leave{});
+  if (playbacks_.empty()) acts_->push_back(Leave{});
 }
 
 void Platform::on(const StopAsked&) {
@@ -270,7 +271,7 @@
   auto& link = found->second;
   auto& server = servers_[link.server];
   link.up = true;
-  link.since = link.heard_at = now_;
+  link.heard_at = now_;
   answered_sign(link);
   if (server.dialled == what.link) server.dialled = 0;
   if (server.link && server.link != what.link) {
@@ -284,8 +285,8 @@
     if (std::exchange(playback.rung_unsaid, false))
       to_server(what.link, rung_bytes(playback.call, playback.rung));
   }
-  for (const auto& [test, of] : link.tests) to_server(what.link, test_bytes(test));
-  for (const auto id : link.tries) send_try(id, playbacks_.at(id));
+  for (const auto test : link.tests) to_server(what.link, test_bytes(test));
+  for (const auto id : link.tries) send_try(playbacks_.at(id));
 }
 
 void Platform::on(const Received& what) {
@@ -385,8 +386,14 @@
 
 // What can't be served is answered, if it has an id, and its connection ended, unless others are served on
 // it: those are owed their answers.
-void Platform::turn_off(Link link, std::optional<CallId> call, const std::string&) {
-  if (call) to_viewer(link, end_line(*call, cause::unusable));
+void Platform::turn_off(Link link, std::optional<CallId> call, const std::string& cause) {
+  ++turned_off_;
+  if (turned_off_said_ < Span(0) || now_ - turned_off_said_ >= turned_off_every) {
+    say("turned_off", {{"cause", cause}, {"since_the_last", static_cast<std::int64_t>(turned_off_)}});
+    turned_off_ = 0;
+    turned_off_said_ = now_;
+  }
+  if (call) to_viewer(link, end_line(*call, platform::cause::unusable));
   const auto viewer = viewers_.find(link);
   if (viewer == viewers_.end()) return;
   if (call && (!viewer->second.open.empty() || viewer->second.standing > 0)) return;
@@ -535,7 +542,7 @@
   const auto link = next_link_++;
   auto& made = links_[link];
   made.server = id;
-  made.heard_at = made.since = now_;
+  made.heard_at = now_;
   server.dialled = link;
   acts_->push_back(Dial{link, server.place.address, server.place.port});
   arm(terms_.dial_limit, Ring::dial, link);
@@ -608,7 +615,7 @@
     playback->link = 0;  // given up with its connection
     end_try(id, playback->sent ? of_sent : Outcome::no_connection, {}, false);
   }
-  for (const auto& [test, of] : link.tests) feed(ProbeEnded{of, false, {}});
+  for (std::size_t i = 0; i < link.tests.size(); ++i) feed(ProbeEnded{link.server, false, {}});
 }
 
 void Platform::server_says(Link number, ServerMessage& message) {
@@ -747,10 +754,10 @@
   playback->limit = arm(order.time_limit, Ring::try_limit, order.playback);
   auto& link = links_.at(playback->link);
   link.tries.insert(order.playback);
-  if (link.up) send_try(order.playback, *playback);
+  if (link.up) send_try(*playback);
 }
 
-void Platform::send_try(PlaybackId, Playback& playback) {
+void Platform::send_try(Playback& playback) {
   const auto wait = std::max<std::int64_t>(1, ms_of(playback.try_until - now_));
   playback.sent = true;
   to_server(playback.link, set_up_bytes({playback.call, terms_.plans[playback.plan], playback.title,
@@ -819,7 +826,7 @@
                    if (number == 0) return feed(ProbeEnded{o.server, false, {}});
                    const auto test = next_test_++;
                    auto& link = links_.at(number);
-                   link.tests[test] = o.server;
+                   link.tests.insert(test);
                    arm(terms_.dial_limit, Ring::probe, test & ((std::uint64_t{1} << ring_shift) - 1));
                    if (link.up) to_server(number, test_bytes(test));
                  },
@@ -870,7 +877,10 @@
 void Platform::tend_channel() {
   for (int turn = 0; turn < 3; ++turn) {
     const auto wish = channel_.wish(now_);
-    if (wish == Channel::Wish::none) break;
+    if (wish == Channel::Wish::none) {
+      wheel_.disarm(channel_look_);
+      return void(channel_look_ = arm(channel_.look_at() - now_, Ring::channel));
+    }
     if (wish == Channel::Wish::hang) {
       say("channel_given_up", {{"cause", channel_.remark()}});
       acts_->push_back(Hang{channel_link_, false});
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -52,10 +52,9 @@
     ServerReader reader;
     bool up = false;
     Span heard_at{0};
-    Span since{0};
     std::optional<Span> retired_at;  // takes no new set-ups
     std::set<PlaybackId> tries;      // sent, or to be sent once it is up
-    std::map<CallId, ServerId> tests;
+    std::set<CallId> tests;
   };
   struct VideoServer {
     std::string name;
@@ -87,7 +86,7 @@
     bool rung_unsaid = false;
     Wheel<std::uint64_t>::Handle limit;
   };
-  enum class Ring { module, try_limit, dial, probe, sweep, part, stop };
+  enum class Ring { module, try_limit, dial, probe, sweep, part, channel, stop };
   struct Bell {
     Ring ring = Ring::module;
     std::uint64_t of = 0;
@@ -131,7 +130,7 @@
   void server_says(Link link, ServerMessage& message);
   void release_heard(Link link, ServerMessage& message);
   void drop_server_link(Link link, Outcome of_sent);
-  void send_try(PlaybackId id, Playback& playback);
+  void send_try(Playback& playback);
   void to_server(Link link, std::string bytes);
   void say_to(ServerId id, std::string bytes);
   void care_for(ServerId id);
@@ -145,7 +144,6 @@
   void start_try(const SetUp& order);
   void end_try(PlaybackId id, Outcome outcome, const LoadReport& load, bool over);
   void stop_playing(PlaybackId id, Outcome outcome, const LoadReport& load, std::optional<int> tell);
-  void leave_server(PlaybackId id, Playback& playback);
   void forget(PlaybackId id);
   void feed(Event event);
   void carry_out(const Order& order);
@@ -187,6 +185,9 @@
   CallId next_test_ = 0;
   Channel channel_;
   Link channel_link_ = 0;
+  Wheel<std::uint64_t>::Handle channel_look_;
+  std::size_t turned_off_ = 0;  // since it was said last
+  Span turned_off_said_{-1};
 };
 
 }  // namespace violettide::platform
--- a/src/platform/wire/server.cpp
+++ b/src/platform/wire/server.cpp
@@ -1,7 +1,6 @@
 #include "platform/wire/server.h"
 
-#include <charconv>
-#include <cmath>
+#include "siteterms/siteterms.h"
 
 namespace violettide::platform {
 
@@ -86,28 +85,6 @@
   }
 }
 
-std::optional<double> number(std::string_view text) {
-  double value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
-  return value;
-}
-
-std::optional<std::map<std::string, double>> figures(std::string_view text) {
-  std::map<std::string, double> values;
-  while (!text.empty()) {
-    const auto cut = text.find(';');
-    const auto part = text.substr(0, cut);
-    const auto colon = part.find(':');
-    const auto value = colon == std::string_view::npos ? std::nullopt : number(part.substr(colon + 1));
-    if (!value) return std::nullopt;
-    values.emplace(part.substr(0, colon), *value);
-    if (cut == std::string_view::npos) break;
-    text.remove_prefix(cut + 1);
-  }
-  return values;
-}
-
 std::optional<std::string> read(std::string_view body, ServerMessage& message) {
   message.kind = kind_of(byte(body[0]));
   for (std::size_t i = 1; i < head; ++i) message.call = message.call << 8 | byte(body[i]);
@@ -128,11 +105,10 @@
     } else if (code == note_code) {
       message.note = std::string(value);
     } else if (code == value_code) {
-      message.value = number(value);
+      message.value = read_number<double>(value);
       if (!message.value) return "a figure is none";
     } else if (code == load_code) {
-      message.load = figures(value);
-      if (!message.load) return "a load report is none";
+      if (!read_figures(value, ';', message.load.emplace())) return "a load report is none";
     }
   }
   using Kind = ServerMessage::Kind;
--- a/src/platform/wire/viewer.cpp
+++ b/src/platform/wire/viewer.cpp
@@ -1,10 +1,10 @@
 #include "platform/wire/viewer.h"
 
-#include <charconv>
-#include <cmath>
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "siteterms/siteterms.h"
+
 namespace violettide::platform {
 
 namespace {
@@ -66,11 +66,8 @@
 }
 
 std::optional<double> figure(std::string_view text) {
-  double value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
-  if (!std::isfinite(value) || value < 0) return std::nullopt;
-  return value;
+  const auto value = read_number<double>(text);
+  return value && *value >= 0 ? value : std::nullopt;
 }
 
 std::variant<Unreadable, ViewerMessage> read_viewer_line(std::string_view line) {
--- a/src/runtime/runtime.cpp
+++ b/src/runtime/runtime.cpp
@@ -61,8 +61,6 @@
     }
     uv_signal_init(&loop_, &hangup_);
     hangup_.data = this;
-    uv_signal_start(
-        &hangup_, [](uv_signal_t* h, int) { of(h)->hung_up(); }, SIGHUP);
     doors_.resize(places_.size());
     try {
       for (std::size_t i = 0; i < places_.size(); ++i) open(static_cast<int>(i));
@@ -91,7 +89,12 @@
     uv_run(&loop_, UV_RUN_DEFAULT);
   }
 
-  void reread(std::string path) { reread_ = std::move(path); }
+  // Guards against commands without such a file outliving their terminal.
+  void reread(std::string path) {
+    reread_ = std::move(path);
+    uv_signal_start(
+        &hangup_, [](uv_signal_t* h, int) { of(h)->hung_up(); }, SIGHUP);
+  }
   std::uint16_t port(int door) const { return places_.at(door).port; }
   Span now() {
     if (!time_read_) {
@@ -155,7 +158,6 @@
   }
 
   void hung_up() {
-    if (reread_.empty()) return;
     std::ifstream file(reread_);
     std::ostringstream text;
     text << file.rdbuf();
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -40,7 +40,7 @@
   Loop& operator=(const Loop&) = delete;
 
   std::uint16_t port(int door) const;  // as bound
-  // On SIGHUP the core is told what the file holds; without one, SIGHUP is passed over.
+  // On SIGHUP the core is told what the file holds; without one, SIGHUP ends the process.
   void reread(std::string path);
   // Until the core leaves. SIGINT and SIGTERM reach it as StopAsked.
   void run();
--- a/src/siteterms/siteterms.cpp
+++ b/src/siteterms/siteterms.cpp
@@ -1,25 +1,11 @@
 #include "siteterms/siteterms.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
-#include <optional>
 
 namespace violettide {
 
 namespace {
 
-template <typename Number>
-std::optional<Number> parse(std::string_view text) {
-  Number value{};
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
-  if constexpr (std::is_floating_point_v<Number>) {
-    if (!std::isfinite(value)) return std::nullopt;
-  }
-  return value;
-}
-
 // Calls `take` for every part of `text` between separators.
 template <typename Take>
 void split(std::string_view text, char separator, Take take) {
@@ -33,7 +19,7 @@
 
 template <typename Number>
 Number value_of(const std::string& path, std::string_view text) {
-  const auto value = parse<Number>(text);
+  const auto value = read_number<Number>(text);
   if (!value) throw SettingFault("setting " + path + "=" + std::string(text) + ": expected a number");
   return *value;
 }
@@ -111,7 +97,8 @@
   bool whole = true;
   split(text, separator, [&](std::string_view pair) {
     const auto cut = pair.find(':');
-    const auto value = cut == std::string_view::npos ? std::nullopt : parse<double>(pair.substr(cut + 1));
+    const auto value =
+        cut == std::string_view::npos ? std::nullopt : read_number<double>(pair.substr(cut + 1));
     if (value)
       values.emplace(pair.substr(0, cut), *value);
     else
--- a/src/siteterms/siteterms.h
+++ b/src/siteterms/siteterms.h
@@ -2,8 +2,11 @@
 // path=value pairs: the bench's adapter as they come, the platform's configuration flattened.
 #pragma once
 
+#include <charconv>
+#include <cmath>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -13,6 +16,18 @@
 
 namespace violettide {
 
+// A number written out, and nothing else; never one that is none or endless.
+template <typename Number>
+std::optional<Number> read_number(std::string_view text) {
+  Number value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  if constexpr (std::is_floating_point_v<Number>) {
+    if (!std::isfinite(value)) return std::nullopt;
+  }
+  return value;
+}
+
 // A setting that is not what its reader was promised.
 class SettingFault : public std::runtime_error {
   using std::runtime_error::runtime_error;
--- a/tests/program/platform_test.cpp
+++ b/tests/program/platform_test.cpp
@@ -376,6 +376,27 @@
   EXPECT_EQ(sent(viewer), accept_line(call_number, "server says\r\n"));
 }
 
+TEST_F(PlatformTest, WhatIsTurnedOffIsSaidWithItsCauseOnceASecond) {
+  const auto said = [&] {
+    std::vector<Say> all;
+    for (const auto& act : acts) {
+      if (const auto* say = std::get_if<Say>(&act); say && say->event == "turned_off") all.push_back(*say);
+    }
+    return all;
+  };
+  come();
+  for (int i = 0; i < 5; ++i) hear(viewer, offer(call_text(i), "0"));
+  come(viewer + 1);
+  hear(viewer + 1, offer(call, "0"));
+  ASSERT_EQ(said().size(), 1u);
+  EXPECT_EQ(std::get<std::string>(said()[0].fields.at(0).second), "with.left: expected milliseconds");
+  pass(1s);
+  come(viewer + 2);
+  hear(viewer + 2, "noise\n");
+  ASSERT_EQ(said().size(), 2u);
+  EXPECT_EQ(std::get<std::int64_t>(said()[1].fields.at(1).second), 2) << "the one in between counts";
+}
+
 TEST_F(PlatformTest, TheIdOfAnOpenRequestIsNotTakenTwice) {
   always_at(0);
   come();
--- a/tests/program/runtime_test.cpp
+++ b/tests/program/runtime_test.cpp
@@ -359,5 +359,18 @@
   EXPECT_EQ(core.text, "the second");
 }
 
+TEST(Runtime, AHangupEndsWhoHasNoFileToReadAgain) {
+  class Waiting : public Bounded {
+   public:
+    void happened(Span, const Happening&, std::vector<Act>&) override { kill(getpid(), SIGHUP); }
+  };
+  const auto run = [] {
+    Waiting core;
+    Loop loop(core, {}, {}, "");
+    loop.run();
+  };
+  EXPECT_EXIT(run(), testing::KilledBySignal(SIGHUP), "");
+}
+
 }  // namespace
 }  // namespace violettide::runtime
