Draw the channel's backoff from its first redial, and take whole lists over a gap

Seen by reading: after a break every manager dialled discovery again at once, then every 200 ms in step; a whole list beyond a gap was asked for again for ever. Lines: Channel::ended, take_line. Change: the first redial is drawn up to 200 ms, later ones doubled in vain to 500 ms at most, drawn from their half up; a whole list needs no event before it.

--- a/src/platform/channel/channel.cpp
+++ b/src/platform/channel/channel.cpp
@@ -13,7 +13,8 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t line_most = 4 * 1024 * 1024;  // a whole list of many thousand servers
-constexpr Span between_dials{200ms};                // against a place that hangs up on everybody at once
+constexpr Span first_backoff{200ms};
+constexpr Span longest_backoff{500ms};  // what is told is owed within seconds of its being back
 constexpr Span dial_limit{1s};
 constexpr Span silence_limit{1600ms};  // its word comes every second
 
@@ -92,6 +93,9 @@
   return Place{std::string(text.substr(0, colon)), *port};
 }
 
+Channel::Channel(std::uint64_t seed)
+    : chance_(static_cast<std::minstd_rand::result_type>(seed % std::minstd_rand::modulus)) {}
+
 std::vector<ListNews> Channel::take_known(std::string_view text) {
   std::vector<ListNews> news;
   const auto json = Json::parse(text.begin(), text.end(), nullptr, false);
@@ -113,6 +117,7 @@
   place_ = std::move(place);
   if (state_ != State::away) give_up("its address is another now");
   look_at_ = Span(0);
+  in_vain_ = 0;
 }
 
 Channel::Wish Channel::wish(Span now) {
@@ -147,7 +152,16 @@
   state_ = State::away;
   useless_ = false;
   held_.clear();
-  look_at_ = std::max(now, heard_at_ + between_dials);
+  look_at_ = now + backoff();
+}
+
+// Guards against managers whose channels broke at one moment dialling in step from then on, and against a
+// place that hangs up on everybody at once: from the first, drawn; doubling in vain.
+Span Channel::backoff() {
+  const auto most = std::min(longest_backoff, first_backoff * (1 << std::min(in_vain_, 4)));
+  const auto least = in_vain_ == 0 ? Span(0) : most / 2;
+  ++in_vain_;
+  return std::uniform_int_distribution<Span::rep>(least.count(), most.count())(chance_) * Span(1);
 }
 
 void Channel::give_up(std::string why) {
@@ -178,16 +192,18 @@
   const auto json = Json::parse(line.begin(), line.end(), nullptr, false);
   if (json.is_number_integer()) {
     heard_at_ = now;
+    in_vain_ = 0;
     if (json.get<std::int64_t>() > last_) give_up("events are missing");
     return;
   }
   auto event = event_of(json);
   if (!event) return give_up("a line can't be read");
   heard_at_ = now;
+  in_vain_ = 0;
   const bool bare = !json.contains("nodes");
   if (event->first <= last_) return;  // told twice
-  // Guards against an event lost on the way: asked for anew.
-  if (event->first != last_ + 1 || bare) {
+  // Guards against an event lost on the way: asked for anew. A whole list needs none before it.
+  if ((event->first != last_ + 1 && !event->second.whole) || bare) {
     if (bare && event->first == last_ + 1 && json.size() > 1) {
       last_ = event->first;  // an event on something else than the list
       return;
--- a/src/platform/channel/channel.h
+++ b/src/platform/channel/channel.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,7 @@
 
 class Channel {
  public:
+  explicit Channel(std::uint64_t seed);
   // Events handed over with a configuration: those that are new, in order.
   std::vector<ListNews> take_known(std::string_view json);
   void connect_to(std::optional<Place> place);  // another place: what is connected is of no more use
@@ -56,6 +58,7 @@
  private:
   void take_line(Span now, std::string_view line, std::vector<ListNews>& news);
   void give_up(std::string why);
+  Span backoff();
 
   std::optional<Place> place_;
   std::int64_t last_ = 0;
@@ -65,6 +68,8 @@
   std::string remark_;
   Span heard_at_{0};
   Span look_at_{0};
+  std::minstd_rand chance_;
+  int in_vain_ = 0;  // dials since anything was heard
 };
 
 }  // namespace violettide::platform
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -69,7 +69,7 @@
 }  // namespace
 
 Platform::Platform(StartTerms terms, std::unique_ptr<Decider> decider)
-    : terms_(std::move(terms)), decider_(std::move(decider)) {
+    : terms_(std::move(terms)), decider_(std::move(decider)), channel_(~terms_.seed) {
   if (!decider_) decider_ = module_decider(terms_.site, terms_.seed);
   next_test_ = terms_.seed * 0x9E3779B97F4A7C15u;  // far from the viewers' ids, as those are drawn as well
 }
