Name each wrong or missing figure of a configuration, at the start and at SIGHUP

Seen by a test: limits.sockets as a text ended the process by an exception out of read_start, also on SIGHUP, which counts as a crash. No plans, no name, no times or no ladder started a manager that turned everybody off. A manager whose number is not told took number 0, so that all of them took the same turns at a cold server: Me is drawn then. Flags other than true and false were read as false. Lines: read_start, Pairs::flag, site_terms. The old reread test sent empty settings; it now asks that these move nothing, and whole ones do.

--- a/src/platform/start.h
+++ b/src/platform/start.h
@@ -23,6 +23,7 @@
   std::vector<Span> abandon;       // a plan's viewers wait so long at most
   std::vector<std::string> halls, kinds;
   Span dial_limit{250'000};
+  Span idle_limit{0};  // servers close connections unused for so long; 0: never
   std::size_t tries_per_link = 1'000'000;
   Span wall_at_zero{0};  // the machine's clock at the core's time 0
 };
--- a/src/siteterms/siteterms.cpp
+++ b/src/siteterms/siteterms.cpp
@@ -78,7 +78,9 @@
 
 bool Pairs::flag(const std::string& path) const {
   const auto value = text(path);
-  return value == "true" || value == "1";
+  if (value.empty() || value == "false" || value == "0") return false;
+  if (value == "true" || value == "1") return true;
+  throw SettingFault("setting " + path + "=" + value + ": expected true or false");
 }
 
 std::vector<double> Pairs::numbers(const std::string& path) const {
@@ -122,7 +124,7 @@
   terms.switch_cost = micros(std::llround(settings.number("FamilyInfo.SwitchCostS", 0) * 1e6));
   terms.note_lag = micros(settings.integer("FamilyInfo.SeenAfter", 0));
   terms.fronts = std::max(1, static_cast<int>(settings.integer("Balancers", 1)));
-  terms.own_number = static_cast<int>(settings.integer("Me", 0));
+  if (!settings.text("Me").empty()) terms.own_number = static_cast<int>(settings.integer("Me", 0));
   terms.cold_time = micros(settings.integer("Rules.Cold", 0));
   terms.cold_from = settings.number("Rules.ColdFrom", 1);
   terms.overload_multiple = settings.number("Rules.OverloadFactor", 1);
--- a/tests/program/platform_test.cpp
+++ b/tests/program/platform_test.cpp
@@ -644,7 +644,11 @@
   happen(Connected{channel_link});
   happen(Reread{"half of a fi"});
   EXPECT_FALSE(hung(channel_link));
-  happen(Reread{R"({"listen":"10.0.0.4:3868","seed":"1","channel":"10.2.0.9:7070","settings":{}})"});
+  const std::string start = R"({"listen":"10.0.0.4:3868","seed":"1","channel":"10.2.0.9:7070","settings":)";
+  happen(Reread{start + "{}}"});
+  EXPECT_FALSE(hung(channel_link)) << "a plan is missing";
+  happen(Reread{start + R"({"Classes":[{"Name":"triage","Aim":1000,"GiveUp":2000}],)"
+                        R"("FamilyInfo":{"RatesKb":[1]}}})"});
   EXPECT_TRUE(hung(channel_link));
   pass(300ms);
   const auto next = connect("10.2.0.9");
--- a/tests/program/platform_wire_test.cpp
+++ b/tests/program/platform_wire_test.cpp
@@ -331,5 +331,43 @@
             "settings: setting Me=x: expected a number");
 }
 
+// Text or a number in the wrong place ends no process, at its start or at a SIGHUP.
+TEST(Start, AFigureOfTheWrongTypeOrMissingIsNamed) {
+  const auto cause = [](const std::string& limits, const std::string& terms) {
+    const auto read = read_start(R"({"listen":"10.0.0.4:3868","seed":"1","channel":"10.2.0.1:70","limits":)" +
+                                 limits + R"(,"settings":)" + terms + "}");
+    const auto* fault = std::get_if<StartFault>(&read);
+    return fault ? fault->cause : "";
+  };
+  const std::string plan = R"({"Name":"a","Aim":1000,"GiveUp":2000})";
+  const auto with = [&](const std::string& plans, const std::string& more = "") {
+    return R"({"Classes":[)" + plans + R"(],"FamilyInfo":{"RatesKb":[1,2]})" + more + "}";
+  };
+  EXPECT_EQ(cause("{}", with(plan)), "");
+  EXPECT_EQ(cause(R"({"sockets":"many"})", with(plan)), "limits.sockets: expected a number above 0");
+  EXPECT_EQ(cause(R"({"sockets":-1})", with(plan)), "limits.sockets: expected a number above 0");
+  EXPECT_EQ(cause("7", with(plan)), "limits: expected an object");
+  EXPECT_EQ(cause("{}", with("")), "settings: Classes: expected one plan at least");
+  EXPECT_EQ(cause("{}", with(R"({"Aim":1000,"GiveUp":2000})")), "settings: Classes.0.Name: expected a name");
+  EXPECT_EQ(cause("{}", with(plan + R"(,{"Name":"b","GiveUp":2000})")),
+            "settings: Classes.1.Aim: expected a time above 0");
+  EXPECT_EQ(cause("{}", with(R"({"Name":"a","Aim":1000})")),
+            "settings: Classes.0.GiveUp: expected a time above 0");
+  EXPECT_EQ(cause("{}", R"({"Classes":[)" + plan + "]}"), "settings: FamilyInfo.RatesKb: expected a ladder");
+  EXPECT_EQ(cause("{}", with(plan, R"(,"Limits":{"MayProbe":"perhaps"})")),
+            "settings: setting Limits.MayProbe=perhaps: expected true or false");
+  EXPECT_EQ(cause("{}", with(plan, R"(,"Limits":{"ConnIdle":"long"})")),
+            "settings: setting Limits.ConnIdle=long: expected a number");
+}
+
+// Without its number a manager draws one: all would else take the same turns at a server just started.
+TEST(Start, AManagersOwnNumberMayBeMissing) {
+  const auto read = read_start(R"({"listen":"10.0.0.4:3868","seed":"1","channel":"10.2.0.1:70","settings":)"
+                               R"({"Classes":[{"Name":"a","Aim":1000,"GiveUp":2000}],)"
+                               R"("FamilyInfo":{"RatesKb":[1]},"Limits":{"ConnIdle":15000000}}})");
+  EXPECT_FALSE(std::get<StartTerms>(read).site.own_number.has_value());
+  EXPECT_EQ(std::get<StartTerms>(read).idle_limit, 15s);
+}
+
 }  // namespace
 }  // namespace violettide::platform
