Read all that has come before sending: crossings of clients, servers, list and stop

Change: Settle and Settled in the seam, a turn of the loop between deciding and sending; Ending::unable, told to the module as not_sent and as a probe that never left; Leave with a bound; idle connections retire at 0.8 of the site's idle time; servers' connections take what viewers and the process leave. The runtime's old test asked that a dial that can't be begun be told as refused, which was the fault: it asks for unable now. Ruled out: cancels of unknown ids, late and second answers, answers in pieces, resets taken for proof; their tests stand.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -337,7 +337,7 @@
 
   void on(const ProbeEnded& what) {
     take_report(what.server, what.load);
-    if (!what.answered) strike(server_at(what.server));
+    if (!what.answered && what.left) strike(server_at(what.server));
     place_waiting([&](const Playback& playback) { return playback.asked == what.server; });
   }
 
--- a/src/brain.h
+++ b/src/brain.h
@@ -121,6 +121,7 @@
   ServerId server = 0;
   bool answered = false;
   LoadReport load;
+  bool left = true;  // false: it never left this machine, which says nothing of the server
 };
 struct Note {
   enum class About { share, rung, link_fill, uplink_fill };
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -1017,7 +1017,8 @@
       return from_box(link, std::move(rest));
     }
   }
-  box_failed(link, link.connected ? Outcome::reset : Outcome::no_connection);
+  const auto unmade = what.how == Ending::unable ? Outcome::not_sent : Outcome::no_connection;
+  box_failed(link, link.connected ? Outcome::reset : unmade);
 }
 
 void Manager::box_time_up(BoxLink& link) {
@@ -1047,7 +1048,7 @@
   if (use == Use::keys) return keys_answered(link, false);
   hang_box(link.link);
   if (use == Use::probe) {
-    if (!head_seen) tell(ProbeEnded{server, false, {}});
+    if (!head_seen) tell(ProbeEnded{server, false, {}, outcome != Outcome::not_sent});
     return;
   }
   const auto found = playbacks_.find(id.value_or(~PlaybackId{0}));
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -88,7 +88,8 @@
   void on(const Flushed& what);
   void on(const KeepDone& what);
   void on(const Woken&) {}
-  void on(const Reread&) {}  // it has no file to read again
+  void on(const Reread&) {}   // it has no file to read again
+  void on(const Settled&) {}  // nor does it ask for that
   void on(const StopAsked&);
   void ring(const Bell& bell);
   void first_moment();
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -24,13 +24,17 @@
 constexpr Span retired_stays{1s};     // for what the server says on the old connection meanwhile
 constexpr Span turned_off_every{1s};  // said so often at most, against floods in the log
 constexpr Span stop_at_least{3s};
-constexpr Span stop_quiet{800ms};  // requests still come for so long after the word
+constexpr Span stop_quiet{800ms};       // requests still come for so long after the word
+constexpr Span stop_answers_in{200ms};  // beyond the longest abandon time all have their answers
+constexpr Span stop_reads_in{300ms};    // and viewers have so long to read them
 constexpr std::size_t most_unsent = 256 * 1024;
 constexpr std::size_t description_most = 8 * 1024;
 constexpr std::size_t name_most = 256;
 constexpr std::size_t most_unsaid = 4096;
 constexpr int refused_is_gone = 2;
-constexpr double most_left = 2;  // of a plan's abandon time
+constexpr double most_left = 2;              // of a plan's abandon time
+constexpr double idle_part = 0.8;            // of a server's idle timeout: no set-up near its end
+constexpr std::size_t own_descriptors = 24;  // the channel, the door, the log, the loop's own
 
 constexpr unsigned ring_shift = 56;
 
@@ -115,13 +119,12 @@
       if (!playback || playback->state != Playback::State::trying) return;
       // A connection that gave no sign since the try was sent may be to a machine that is no more.
       if (const auto link = links_.find(playback->link); playback->sent && link != links_.end()) {
-        if (link->second.heard_at <= playback->tried_at && !link->second.retired_at) {
-          link->second.retired_at = now_;
-          auto& server = servers_[playback->server];
-          if (server.link == playback->link) server.link = 0;
-        }
+        if (link->second.heard_at <= playback->tried_at && !link->second.retired_at) retire(playback->link);
       }
-      return end_try(id, playback->sent ? Outcome::late : Outcome::no_connection, {}, false);
+      const auto link = links_.find(playback->link);
+      const bool dialling = link != links_.end() && !link->second.up;
+      const auto unsent = dialling ? Outcome::no_connection : Outcome::not_sent;
+      return end_try(id, playback->sent ? Outcome::late : unsent, {}, false);
     }
     case Ring::dial: {
       const auto link = links_.find(static_cast<Link>(bell.of));
@@ -149,8 +152,8 @@
     case Ring::channel:
       return;  // tended with every happening
     case Ring::stop:
-      acts_->push_back(Leave{});
-      return;
+      leaving_ = Leaving::at_once;
+      return settle();
   }
 }
 
@@ -171,15 +174,22 @@
     if (link.retired_at && link.tries.empty() && now_ - *link.retired_at > retired_stays)
       over.push_back(number);
   }
-  for (const auto link : over) {
-    drop_server_link(link, Outcome::reset);
-    acts_->push_back(Hang{link, true});
+  for (const auto link : over) end_server_link(link);
+  // Guards against a server's idle timeout crossing a set-up on its way, which may then have run for all that
+  // is known; and against connections that nobody needs, which are scarce at servers.
+  if (terms_.idle_limit > Span(0)) {
+    for (auto& [number, link] : links_) {
+      const bool busy = !link.up || link.retired_at || !link.tries.empty() || !link.tests.empty();
+      if (!busy && now_ - link.used_at >= idle_part * terms_.idle_limit) retire(number);
+    }
   }
   for (ServerId id = 0; id < servers_.size(); ++id) {
     if (!servers_[id].playing.empty() || !servers_[id].unsaid.empty()) care_for(id);
   }
   if (!stop_asked_ || now_ - *stop_asked_ < stop_quiet) return;
-  if (playbacks_.empty()) acts_->push_back(Leave{});
+  if (!playbacks_.empty() || leaving_ != Leaving::no) return;
+  leaving_ = Leaving::when_empty;
+  settle();
 }
 
 void Platform::on(const StopAsked&) {
@@ -187,10 +197,55 @@
   stop_asked_ = now_;
   Span longest = stop_at_least;
   for (const auto abandon : terms_.abandon) longest = std::max(longest, abandon);
-  arm(longest + stop_quiet - 200ms, Ring::stop);
+  arm(longest + stop_answers_in, Ring::stop);
   say("stopping", {{"playbacks", static_cast<std::int64_t>(playbacks_.size())}});
 }
 
+// Guards against requests that came while this process stood still being left unread: it goes when all that
+// came is read and answered, and gives its viewers time to read.
+void Platform::leave() {
+  if (leaving_ == Leaving::when_empty && !playbacks_.empty()) {
+    leaving_ = Leaving::no;
+    return;
+  }
+  std::vector<PlaybackId> open;
+  for (const auto& [link, viewer] : viewers_) open.insert(open.end(), viewer.open.begin(), viewer.open.end());
+  std::sort(open.begin(), open.end());
+  for (const auto id : open) {
+    const auto* playback = find(id);
+    if (!playback) continue;
+    to_viewer(playback->viewer, end_line(playback->call, cause::reset));
+    withdraw(id);
+  }
+  std::vector<Link> all;
+  for (const auto& [link, viewer] : viewers_) all.push_back(link);
+  std::sort(all.begin(), all.end());
+  for (const auto link : all) {
+    viewer_gone(link);
+    acts_->push_back(Hang{link, true});
+  }
+  acts_->push_back(Leave{stop_reads_in});
+}
+
+// Guards against a try for a viewer who has gone, or to a server said to drain, in what is not read yet:
+// nothing is sent before all that has come is.
+void Platform::settle() {
+  if (!std::exchange(settle_asked_, true)) acts_->push_back(Settle{});
+}
+
+void Platform::on(const Settled&) {
+  settle_asked_ = false;
+  if (leaving_ == Leaving::at_once) return leave();
+  const auto due = std::exchange(settling_, {});
+  for (const auto id : due) {
+    auto* playback = find(id);
+    if (!playback || playback->state != Playback::State::trying || playback->sent) continue;
+    const auto link = links_.find(playback->link);
+    if (link != links_.end() && link->second.up) send_try(*playback);
+  }
+  if (leaving_ != Leaving::no) leave();
+}
+
 void Platform::on(const Reread& what) {
   auto read = read_start(what.text);
   if (const auto* fault = std::get_if<StartFault>(&read))
@@ -216,6 +271,12 @@
 // Usual viewers take a third at most; the rest of the descriptors are the servers' and the channel's.
 std::size_t Platform::most_viewers() const { return terms_.sockets / 2; }
 
+// What viewers, even in a flood, and this process itself leave.
+std::size_t Platform::most_server_links() const {
+  const auto others = most_viewers() / 4 * 5 + own_descriptors;
+  return terms_.sockets > others + 1 ? terms_.sockets - others : 1;
+}
+
 // Guards against floods of connections shutting the usual viewers out: the silent ones go first, then
 // those that carry nothing, the longest unheard of each; none that has just come or just been answered.
 void Platform::make_place() {
@@ -271,7 +332,7 @@
   auto& link = found->second;
   auto& server = servers_[link.server];
   link.up = true;
-  link.heard_at = now_;
+  link.heard_at = link.used_at = now_;
   answered_sign(link);
   if (server.dialled == what.link) server.dialled = 0;
   if (server.link && server.link != what.link) {
@@ -286,7 +347,7 @@
       to_server(what.link, rung_bytes(playback.call, playback.rung));
   }
   for (const auto test : link.tests) to_server(what.link, test_bytes(test));
-  for (const auto id : link.tries) send_try(playbacks_.at(id));
+  for (const auto id : link.tries) send_when_settled(id);
 }
 
 void Platform::on(const Received& what) {
@@ -313,7 +374,7 @@
   }
   const auto found = links_.find(what.link);
   if (found == links_.end()) return;
-  found->second.heard_at = now_;
+  found->second.heard_at = found->second.used_at = now_;
   answered_sign(found->second);
   std::vector<ServerMessage> messages;
   const auto unreadable = found->second.reader.take(what.bytes, messages);
@@ -343,6 +404,10 @@
   const auto id = found->second.server;
   const bool refused = what.how == Ending::refused && !found->second.up;
   auto& server = servers_[id];
+  if (what.how == Ending::unable) {
+    not_asked(id);
+    return drop_server_link(what.link, Outcome::not_sent, Outcome::not_sent);
+  }
   drop_server_link(what.link, Outcome::reset);
   if (refused) {
     if (server.refused++ == 0) server.first_refused = now_;
@@ -376,7 +441,7 @@
     case ViewerMessage::Kind::end:
       return take_end(link, message.call);
     case ViewerMessage::Kind::test:
-      return to_viewer(link, tested_line(message.call, !stop_asked_));
+      return to_viewer(link, tested_line(message.call, ready()));
     case ViewerMessage::Kind::ended:
       return;
     case ViewerMessage::Kind::other:
@@ -535,14 +600,14 @@
   return found->second;
 }
 
-Link Platform::dial(ServerId id) {
+Link Platform::dial(ServerId id, bool for_try) {
   auto& server = servers_[id];
   if (server.dialled) return server.dialled;
-  if (server.place.port == 0) return 0;
+  if (server.place.port == 0 || !make_place_for_dial(for_try)) return 0;
   const auto link = next_link_++;
   auto& made = links_[link];
   made.server = id;
-  made.heard_at = now_;
+  made.heard_at = made.used_at = now_;
   server.dialled = link;
   acts_->push_back(Dial{link, server.place.address, server.place.port});
   arm(terms_.dial_limit, Ring::dial, link);
@@ -552,10 +617,39 @@
 Link Platform::link_for(ServerId id) {
   const auto found = links_.find(servers_[id].link);
   if (found != links_.end() && found->second.tries.size() < terms_.tries_per_link) return found->first;
-  return dial(id);
+  return dial(id, true);
 }
 
-void Platform::to_server(Link link, std::string bytes) { acts_->push_back(Send{link, std::move(bytes)}); }
+// Guards against servers' connections taking the descriptors of the channel and of viewers: beyond their
+// part the one unused for longest goes, one to a server where something plays only for a try.
+bool Platform::make_place_for_dial(bool for_try) {
+  if (links_.size() < most_server_links()) return true;
+  Link longest = 0;
+  std::pair<bool, Span> least;
+  for (const auto& [number, link] : links_) {
+    if (!link.up || !link.tries.empty() || !link.tests.empty()) continue;
+    const auto& server = servers_[link.server];
+    const std::pair rank(!server.playing.empty() || !server.unsaid.empty(), link.used_at);
+    if ((rank.first && !for_try) || (longest != 0 && rank >= least)) continue;
+    longest = number;
+    least = rank;
+  }
+  if (longest == 0) return false;
+  end_server_link(longest);
+  return true;
+}
+
+// Guards against this machine's want of descriptors or ports being held against a server.
+void Platform::not_asked(ServerId id) {
+  auto& server = servers_[id];
+  server.heard_at = std::max(server.heard_at, now_ - sign_wanted_after);
+  server.next_dial = std::max(server.next_dial, now_ + between_signs);
+}
+
+void Platform::to_server(Link link, std::string bytes) {
+  if (const auto found = links_.find(link); found != links_.end()) found->second.used_at = now_;
+  acts_->push_back(Send{link, std::move(bytes)});
+}
 
 void Platform::say_to(ServerId id, std::string bytes) {
   auto& server = servers_[id];
@@ -579,13 +673,32 @@
   const bool lost = now_ - server.heard_at > sign_limit;
   // A process that drains may refuse new connections while its playbacks play on; one that dies resets its
   // own.
-  const bool refused =
-      !server.link && server.refused >= refused_is_gone && now_ - server.first_refused >= between_signs / 2;
-  const bool replaced = server.standing == Standing::gone && !server.link && server.place.port != 0;
+  const bool refused = server.refused >= refused_is_gone &&
+                       now_ - server.first_refused >= between_signs / 2 && !connected_to(id);
+  const bool replaced = server.standing == Standing::gone && server.place.port != 0 && !connected_to(id);
   if (lost || refused || replaced) return cut_all(id, lost ? "no sign" : refused ? "refused" : "gone");
   if (server.dialled || now_ < server.next_dial) return;
   server.next_dial = now_ + between_signs;
-  dial(id);
+  if (dial(id, false) == 0 && server.place.port != 0) not_asked(id);
+}
+
+// One that takes no more set-ups still brings what its server says.
+bool Platform::connected_to(ServerId id) const {
+  return std::any_of(links_.begin(), links_.end(),
+                     [&](const auto& link) { return link.second.server == id && link.second.up; });
+}
+
+// From now on for what the server says alone; ended when that has had its time.
+void Platform::retire(Link number) {
+  auto& link = links_.at(number);
+  link.retired_at = now_;
+  auto& server = servers_[link.server];
+  if (server.link == number) server.link = 0;
+}
+
+void Platform::end_server_link(Link number) {
+  drop_server_link(number, Outcome::reset);
+  acts_->push_back(Hang{number, true});
 }
 
 void Platform::cut_all(ServerId id, const char* cause) {
@@ -601,7 +714,7 @@
   for (const auto id : playing) stop_playing(id, Outcome::reset, {}, cause::reset);
 }
 
-void Platform::drop_server_link(Link number, Outcome of_sent) {
+void Platform::drop_server_link(Link number, Outcome of_sent, Outcome of_unsent) {
   const auto found = links_.find(number);
   if (found == links_.end()) return;
   auto link = std::move(found->second);
@@ -613,9 +726,10 @@
     auto* playback = find(id);
     if (!playback || playback->state != Playback::State::trying || playback->link != number) continue;
     playback->link = 0;  // given up with its connection
-    end_try(id, playback->sent ? of_sent : Outcome::no_connection, {}, false);
+    end_try(id, playback->sent ? of_sent : of_unsent, {}, false);
   }
-  for (std::size_t i = 0; i < link.tests.size(); ++i) feed(ProbeEnded{link.server, false, {}});
+  const bool left = link.up || of_unsent != Outcome::not_sent;
+  for (std::size_t i = 0; i < link.tests.size(); ++i) feed(ProbeEnded{link.server, false, {}, left});
 }
 
 void Platform::server_says(Link number, ServerMessage& message) {
@@ -750,11 +864,20 @@
   playback->tried_at = now_;
   playback->try_until = now_ + order.time_limit;
   playback->link = link_for(order.server);
-  if (playback->link == 0) return end_try(order.playback, Outcome::no_connection, {}, false);
-  playback->limit = arm(order.time_limit, Ring::try_limit, order.playback);
+  if (playback->link == 0 && servers_[order.server].place.port == 0)
+    return end_try(order.playback, Outcome::no_connection, {}, false);
+  // With no descriptor left it waits as for a dial: ended at once, it would be tried again at once.
+  const auto limit = playback->link ? order.time_limit : std::min(order.time_limit, terms_.dial_limit);
+  playback->limit = arm(limit, Ring::try_limit, order.playback);
+  if (playback->link == 0) return;
   auto& link = links_.at(playback->link);
   link.tries.insert(order.playback);
-  if (link.up) send_try(*playback);
+  if (link.up) send_when_settled(order.playback);
+}
+
+void Platform::send_when_settled(PlaybackId id) {
+  settling_.push_back(id);
+  settle();
 }
 
 void Platform::send_try(Playback& playback) {
@@ -823,7 +946,8 @@
                  [&](const Abort& o) { final_answer(o.playback, cause::reset, Span(0)); },
                  [&](const Probe& o) {
                    const auto number = link_for(o.server);
-                   if (number == 0) return feed(ProbeEnded{o.server, false, {}});
+                   if (number == 0)
+                     return feed(ProbeEnded{o.server, false, {}, servers_[o.server].place.port == 0});
                    const auto test = next_test_++;
                    auto& link = links_.at(number);
                    link.tests.insert(test);
@@ -847,6 +971,7 @@
     if (news.whole) {
       for (auto& server : servers_) server.standing = Standing::gone;
     }
+    std::vector<Link> stale;
     for (const auto& told : news.servers) {
       const auto id = server_named(told.name);
       auto& server = servers_[id];
@@ -855,10 +980,8 @@
       server.standing = told.standing;
       if (told.place.port != 0) server.place = told.place;
       if (told.started_ms != 0) server.started_ms = told.started_ms;
-      if ((anew || moved) && server.link) {  // to a process that is no more
-        links_.at(server.link).retired_at = now_;
-        server.link = 0;
-      }
+      if ((anew || moved) && server.link) retire(server.link);  // to a process that is no more
+      if ((anew || moved) && server.dialled) stale.push_back(server.dialled);
       ServerEntry entry;
       entry.server = id;
       entry.standing = told.standing;
@@ -871,7 +994,37 @@
       if (anew) cut_all(id, "started anew");
     }
     feed(list);
+    // Guards against a dial under way to the old address coming up as if it were the new process.
+    for (const auto link : stale) {
+      drop_server_link(link, Outcome::not_sent, Outcome::not_sent);
+      acts_->push_back(Hang{link, false});
+    }
   }
+  take_back_unsent();
+}
+
+// Guards against a try that waited for its connection, or for what came before it to be read, reaching a
+// server that was said meanwhile to drain or be gone, or the process that was there before.
+void Platform::take_back_unsent() {
+  std::vector<PlaybackId> unsent;
+  for (const auto& [number, link] : links_) {
+    if (servers_[link.server].standing == Standing::ready && !link.retired_at) continue;
+    for (const auto id : link.tries) {
+      if (!playbacks_.at(id).sent) unsent.push_back(id);
+    }
+  }
+  std::sort(unsent.begin(), unsent.end());
+  for (const auto id : unsent) {
+    const auto* playback = find(id);
+    if (playback && playback->state == Playback::State::trying && !playback->sent)
+      end_try(id, Outcome::not_sent, {}, false);
+  }
+}
+
+// Guards against viewers being led to a process that can serve none of them.
+bool Platform::ready() const {
+  return !stop_asked_ && std::any_of(servers_.begin(), servers_.end(),
+                                     [](const auto& server) { return server.standing == Standing::ready; });
 }
 
 void Platform::tend_channel() {
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -55,6 +55,7 @@
     std::optional<Span> retired_at;  // takes no new set-ups
     std::set<PlaybackId> tries;      // sent, or to be sent once it is up
     std::set<CallId> tests;
+    Span used_at{0};  // bytes last went either way
   };
   struct VideoServer {
     std::string name;
@@ -106,6 +107,7 @@
   void on(const Woken&);
   void on(const StopAsked&);
   void on(const Reread& what);
+  void on(const Settled&);
   void ring(const Bell& bell);
   void sweep();
 
@@ -125,11 +127,17 @@
 
   // ---- servers ----
   ServerId server_named(const std::string& name);
-  Link dial(ServerId id);
+  Link dial(ServerId id, bool for_try);
   Link link_for(ServerId id);
   void server_says(Link link, ServerMessage& message);
   void release_heard(Link link, ServerMessage& message);
-  void drop_server_link(Link link, Outcome of_sent);
+  void drop_server_link(Link link, Outcome of_sent, Outcome of_unsent = Outcome::no_connection);
+  void end_server_link(Link link);
+  void retire(Link link);
+  bool connected_to(ServerId id) const;
+  bool make_place_for_dial(bool for_try);
+  void not_asked(ServerId id);
+  void send_when_settled(PlaybackId id);
   void send_try(Playback& playback);
   void to_server(Link link, std::string bytes);
   void say_to(ServerId id, std::string bytes);
@@ -150,6 +158,8 @@
 
   // ---- the list ----
   void take_lists(const std::vector<ListNews>& lists, bool at_start);
+  void take_back_unsent();
+  bool ready() const;
   void tend_channel();
 
   Wheel<std::uint64_t>::Handle arm(Span in, Ring ring, std::uint64_t of = 0);
@@ -157,6 +167,9 @@
     acts_->push_back(Say{std::move(event), std::move(fields)});
   }
   std::size_t most_viewers() const;
+  std::size_t most_server_links() const;
+  void settle();
+  void leave();
 
   StartTerms terms_;
   std::unique_ptr<Decider> decider_;
@@ -164,6 +177,9 @@
   Span now_{0};
   bool begun_ = false;
   std::optional<Span> stop_asked_;
+  enum class Leaving { no, when_empty, at_once } leaving_ = Leaving::no;  // once settled
+  bool settle_asked_ = false;
+  std::vector<PlaybackId> settling_;  // whose tries go out then
   Wheel<std::uint64_t> wheel_;
   Span woken_for_{-1};
   std::deque<Event> events_;
@@ -171,7 +187,7 @@
 
   std::unordered_map<Link, ViewerLink> viewers_;
   std::vector<Link> parting_;
-  Link last_viewer_ = 0;  // whose set-up played last
+  Link last_viewer_ = 0;             // whose set-up played last
   std::unordered_map<Link, ServerLink> links_;
   Link next_link_ = 1;
   std::deque<VideoServer> servers_;
--- a/src/runtime/runtime.cpp
+++ b/src/runtime/runtime.cpp
@@ -51,8 +51,17 @@
     uv_check_init(&loop_, &check_);
     check_.data = this;
     // One time for all that one turn of the loop brings, so that a core that stood still can tell.
-    uv_prepare_start(&prepare_, [](uv_prepare_t* h) { of(h)->time_read_ = false; });
-    uv_check_start(&check_, [](uv_check_t* h) { of(h)->time_read_ = false; });
+    uv_prepare_start(&prepare_, [](uv_prepare_t* h) {
+      of(h)->time_read_ = false;
+      of(h)->settling_ = of(h)->settle_asked_;
+    });
+    uv_check_start(&check_, [](uv_check_t* h) {
+      of(h)->time_read_ = false;
+      of(h)->settled();
+    });
+    uv_idle_init(&loop_, &idle_);
+    uv_timer_init(&loop_, &leaving_limit_);
+    leaving_limit_.data = this;
     for (std::size_t i = 0; i < signals_.size(); ++i) {
       uv_signal_init(&loop_, &signals_[i]);
       signals_[i].data = this;
@@ -157,6 +166,19 @@
     }
   }
 
+  // Asked in one turn of the loop, settled when a whole turn has read what there was: the end of a
+  // connection is only seen in the turn after its last bytes. An idle handle keeps that turn from waiting.
+  void settle() {
+    if (std::exchange(settle_asked_, true)) return;
+    uv_idle_start(&idle_, [](uv_idle_t*) {});
+  }
+  void settled() {
+    if (!std::exchange(settling_, false)) return;
+    settle_asked_ = false;
+    uv_idle_stop(&idle_);
+    deliver(Settled{});
+  }
+
   void hung_up() {
     std::ifstream file(reread_);
     std::ostringstream text;
@@ -196,7 +218,8 @@
                      [&](Say& a) {
                        if (said_) said_(now(), a);
                      },
-                     [&](Leave&) { leaving_ = true; },
+                     [&](Settle&) { settle(); },
+                     [&](Leave& a) { leave(a.within); },
                  },
                  act);
     }
@@ -206,6 +229,16 @@
     leave_if_done();
   }
 
+  // Guards against a reader who reads nothing keeping the process for good.
+  void leave(Span within) {
+    if (std::exchange(leaving_, true)) return;
+    for (std::size_t door = 0; door < doors_.size(); ++door) shut(static_cast<int>(door));
+    uv_update_time(&loop_);
+    uv_timer_start(
+        &leaving_limit_, [](uv_timer_t* t) { uv_stop(t->loop); },
+        static_cast<std::uint64_t>(std::max<std::int64_t>(0, within.count() / 1000)), 0);
+  }
+
   // Guards against an end that cuts off what was sent last: connections that linger are waited for.
   void leave_if_done() {
     if (leaving_ && lingering_ == 0) uv_stop(&loop_);
@@ -240,7 +273,8 @@
                               c->inside->connected(*c, status);
                             });
     if (!code) return;
-    // Told in a turn of its own, by a timer of its own: the core's may be set for later.
+    // No descriptor, no port, no way out: libuv tells a peer's refusal by the callback in every case. Told in
+    // a turn of its own, by a timer of its own: the core's may be set for later.
     failed_.push_back(what.link);
     uv_timer_start(
         &failing_,
@@ -249,7 +283,7 @@
           std::vector<Link> failed;
           failed.swap(self->failed_);
           for (const auto link : failed) {
-            if (auto* c = self->find(link)) self->end(*c, Ending::refused);
+            if (auto* c = self->find(link)) self->end(*c, Ending::unable);
           }
         },
         0, 0);
@@ -503,9 +537,11 @@
   std::function<void(Span, const Say&)> said_;
   std::string folder_;
   uv_loop_t loop_{};
-  uv_timer_t timer_{}, failing_{};
+  uv_timer_t timer_{}, failing_{}, leaving_limit_{};
   uv_prepare_t prepare_{};
   uv_check_t check_{};
+  uv_idle_t idle_{};
+  bool settle_asked_ = false, settling_ = false;
   std::array<uv_signal_t, 2> signals_{};
   uv_signal_t hangup_{};
   std::string reread_;
--- a/src/seams/seams.h
+++ b/src/seams/seams.h
@@ -18,7 +18,9 @@
 using Link = std::uint32_t;
 constexpr Link first_accepted = 1u << 31;
 
-enum class Ending { finished, refused, reset };
+// `unable`: a dial that failed on this machine, for want of a descriptor or a port; it says nothing of the
+// peer, and nothing reached it.
+enum class Ending { finished, refused, reset, unable };
 
 struct Accepted {
   Link link;
@@ -49,10 +51,10 @@
 struct StopAsked {};
 struct Reread {
   std::string text;
-};  // the file to read again, as it is now
-using Happening =
-    std::variant<Accepted, Connected, Received, HalfClosed, Ended, Flushed, KeepDone, Woken, StopAsked,
-                 Reread>;
+};                  // the file to read again, as it is now
+struct Settled {};  // of Settle: all that had come to this machine by then has been told
+using Happening = std::variant<Accepted, Connected, Received, HalfClosed, Ended, Flushed, KeepDone, Woken,
+                               StopAsked, Reread, Settled>;
 
 struct Dial {
   Link link;
@@ -97,9 +99,14 @@
 struct Say {
   std::string event;
   std::vector<Field> fields;
-};                // one log line
-struct Leave {};  // the core is done; end the loop
-using Act = std::variant<Dial, Send, Hang, Hold, Resume, WakeAt, Open, Shut, Store, Keep, Say, Leave>;
+};  // one log line
+// Everything that has come by now is to be told before Settled. Guards against acting on what is older than
+// its own end, which waits unread behind it or beside it.
+struct Settle {};
+struct Leave {  // the core is done; end the loop, once its last answers have been taken
+  Span within{10'000'000};
+};
+using Act = std::variant<Dial, Send, Hang, Hold, Resume, WakeAt, Open, Shut, Store, Keep, Say, Settle, Leave>;
 
 class Core {
  public:
--- a/tests/program/net.h
+++ b/tests/program/net.h
@@ -202,6 +202,7 @@
               post(now_ + keep_time, at, KeepDone{a.ticket, failed});
             },
             [&](Say& a) { said.emplace_back(at, a); },
+            [&](Settle&) { post(now_, at, Settled{}); },  // after what is under way to it at this time
             [&](Leave&) { kill(at); },
         },
         act);
--- a/tests/program/runtime_test.cpp
+++ b/tests/program/runtime_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -169,12 +170,12 @@
 }
 
 // The manager itself on sockets, with nothing behind it: it answers, and stops in order when asked.
-// A dial that can't even be begun is told as one that was refused, and the time that was asked for still
-// comes.
-TEST(Runtime, ADialThatFailsAtOnceIsToldAndTakesNoTimer) {
+// A dial that can't even be begun is told, as this machine's doing and no peer's, and the time that was
+// asked for still comes.
+TEST(Runtime, ADialThatFailsAtOnceIsToldAsOursAndTakesNoTimer) {
   class Dialler : public Core {
    public:
-    bool refused = false, woken = false;
+    bool unable = false, woken = false;
     void handle(Span now, const Happening& what, std::vector<Act>& acts) override {
       if (!std::exchange(began_, true)) {
         acts.push_back(WakeAt{now + 50ms});
@@ -182,7 +183,7 @@
         due_ = now + 50ms;
         return;
       }
-      if (const auto* ended = std::get_if<Ended>(&what)) refused = ended->how == Ending::refused && !woken;
+      if (const auto* ended = std::get_if<Ended>(&what)) unable = ended->how == Ending::unable && !woken;
       if (std::holds_alternative<Woken>(what) && now >= due_) woken = true;
       if (woken) acts.push_back(Leave{});
     }
@@ -194,10 +195,123 @@
   Dialler dialler;
   Loop loop(dialler, {}, {}, "");
   loop.run();
-  EXPECT_TRUE(dialler.refused);
+  EXPECT_TRUE(dialler.unable);
   EXPECT_TRUE(dialler.woken);
 }
 
+// A machine without a descriptor left refuses nobody: what the peer does and what is ours are told apart.
+TEST(Runtime, ARefusalIsThePeersAndAWantOfDescriptorsOurs) {
+  class Dialler : public Bounded {
+   public:
+    std::vector<Ending> ends;
+    std::uint16_t nobody = 0;
+    void happened(Span, const Happening& what, std::vector<Act>& acts) override {
+      if (!std::exchange(began_, true)) acts.push_back(Dial{1, "127.0.0.1", nobody});
+      const auto* ended = std::get_if<Ended>(&what);
+      if (!ended) return;
+      ends.push_back(ended->how);
+      if (ends.size() == 2) return acts.push_back(Leave{});
+      rlimit limit{};
+      getrlimit(RLIMIT_NOFILE, &limit);
+      was_ = limit.rlim_cur;
+      limit.rlim_cur = 3;
+      setrlimit(RLIMIT_NOFILE, &limit);
+      acts.push_back(Dial{2, "127.0.0.1", nobody});
+    }
+    ~Dialler() override {
+      rlimit limit{};
+      getrlimit(RLIMIT_NOFILE, &limit);
+      limit.rlim_cur = was_;
+      setrlimit(RLIMIT_NOFILE, &limit);
+    }
+
+   private:
+    bool began_ = false;
+    rlim_t was_ = RLIM_INFINITY;
+  };
+  Echo taken;
+  Dialler core;
+  {
+    Loop other(taken, {{"127.0.0.1", 0}}, {}, "");
+    core.nobody = other.port(0);
+  }  // nobody listens there now
+  Loop loop(core, {}, {}, "");
+  loop.run();
+  EXPECT_FALSE(core.gave_up);
+  EXPECT_EQ(core.ends, (std::vector{Ending::refused, Ending::unable}));
+}
+
+// A client's words and its end, all written before this process looks: its end is told before Settled.
+TEST(Runtime, AllThatHadComeIsToldBeforeSettled) {
+  class Settling : public Bounded {
+   public:
+    std::string order;
+    std::function<void()> comes;
+    void happened(Span, const Happening& what, std::vector<Act>& acts) override {
+      if (!std::exchange(began_, true)) comes();
+      if (std::holds_alternative<Received>(what)) {
+        order += 'r';
+        acts.push_back(Settle{});
+      }
+      if (std::holds_alternative<HalfClosed>(what) || std::holds_alternative<Ended>(what)) order += 'e';
+      if (std::holds_alternative<Settled>(what)) {
+        order += 's';
+        acts.push_back(Leave{});
+      }
+    }
+
+   private:
+    bool began_ = false;
+  };
+  for (const bool reset : {false, true}) {
+    Settling core;
+    Loop loop(core, {{"127.0.0.1", 0}}, {}, "");
+    core.comes = [&] {
+      const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+      sockaddr_in place{};
+      place.sin_family = AF_INET;
+      place.sin_port = htons(loop.port(0));
+      place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+      ASSERT_EQ(::connect(socket, reinterpret_cast<const sockaddr*>(&place), sizeof place), 0);
+      ASSERT_EQ(::send(socket, "?", 1, 0), 1);
+      if (reset) ::shutdown(socket, SHUT_WR);
+      ::close(socket);
+    };
+    loop.run();
+    EXPECT_FALSE(core.gave_up);
+    EXPECT_EQ(core.order, "res");
+  }
+}
+
+// Sends more than any buffer holds to a reader who reads nothing, and leaves.
+TEST(Runtime, AReaderWhoReadsNothingKeepsNobodyWhoLeaves) {
+  class Unread : public Bounded {
+   public:
+    std::uint16_t port = 0;
+    Span left_at{0};
+    void happened(Span now, const Happening& what, std::vector<Act>& acts) override {
+      if (!std::exchange(dialled_, true)) acts.push_back(Dial{1, "127.0.0.1", port});
+      if (std::holds_alternative<Connected>(what)) acts.push_back(Hold{1}), held_ = true;
+      if (const auto* accepted = std::get_if<Accepted>(&what)) to_ = accepted->link;
+      if (!held_ || to_ == 0) return;
+      acts.push_back(Send{to_, std::string(64 * 1024 * 1024, 'x')});
+      acts.push_back(Hang{to_, true});
+      acts.push_back(Leave{100ms});
+      left_at = now;
+    }
+
+   private:
+    bool dialled_ = false, held_ = false;
+    Link to_ = 0;
+  };
+  Unread core;
+  Loop loop(core, {{"127.0.0.1", 0}}, {}, "");
+  core.port = loop.port(0);
+  loop.run();
+  EXPECT_FALSE(core.gave_up);
+  EXPECT_LT(loop.now() - core.left_at, 5s) << "far less than a last answer may take";
+}
+
 // Sends a long answer to whoever asks, hangs up behind it and leaves.
 class LastAnswer : public Bounded {
  public:
