Tell an end to its own viewer, though another sends its id or its connection ended

Traced by id on a scratch copy: a bad client sent the id of a playback handed over, with another title, on its own connection at 2.84 s; its end at 5.01 s went there. Lines: take_offer took whoever sends a standing id with 'at' for its viewer told again. Ruled out: late release by the server (heard at 5.006), the reader of lines, parted connections. By reading: with its connection and the last viewer's gone an end was told to nobody; it goes on any open connection, or to the next that speaks.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -435,6 +435,7 @@
 }
 
 void Platform::viewer_says(Link link, ViewerLink& viewer, ViewerMessage& message) {
+  for (auto& line : std::exchange(untold_, {})) acts_->push_back(Send{link, std::move(line)});
   switch (message.kind) {
     case ViewerMessage::Kind::offer:
       return take_offer(link, viewer, message);
@@ -519,8 +520,12 @@
   if (const auto fault = read_offer(message, request, at)) return turn_off(link, message.call, *fault);
   if (known != calls_.end()) {
     auto& playback = playbacks_.at(known->second);
-    if (!at.empty()) {  // told again what stands: from now on by this connection
-      if (playback.state != Playback::State::playing || playback.viewer == link) return;
+    // Guards against whoever sends another's id being told of its end in its viewer's place.
+    const bool same = playback.title == message.fields.at("key") && playback.plan == request.plan &&
+                      servers_[playback.server].name == at;
+    if (!at.empty() && playback.state == Playback::State::playing && same) {
+      // told again what stands: from now on by this connection
+      if (playback.viewer == link) return;
       if (const auto old = viewers_.find(playback.viewer); old != viewers_.end()) --old->second.standing;
       playback.viewer = link;
       ++viewer.standing;
@@ -902,10 +907,28 @@
   feed(TryEnded{id, server, outcome, over, load});
 }
 
+// Guards against an end that nobody is told, as the connection that brought the playback has ended: any
+// open one serves, or the next that says something.
+void Platform::tell_end(const Playback& playback, int why) {
+  auto to = viewers_.find(playback.viewer);
+  if (to == viewers_.end()) to = viewers_.find(last_viewer_);
+  if (to == viewers_.end()) {
+    for (auto one = viewers_.begin(); one != viewers_.end(); ++one) {
+      const auto rank = [](const auto& it) {
+        return std::tuple(it->second.standing > 0, it->second.heard_at, it->first);
+      };
+      if (one->second.spoke && (to == viewers_.end() || rank(one) > rank(to))) to = one;
+    }
+  }
+  auto line = end_line(playback.call, why);
+  if (to != viewers_.end()) return to_viewer(to->first, std::move(line));
+  if (untold_.size() < most_unsaid) untold_.push_back(std::move(line));
+}
+
 // A playback that plays is over; `tell`: the cause that its viewer is told, if one is owed.
 void Platform::stop_playing(PlaybackId id, Outcome outcome, const LoadReport& load, std::optional<int> tell) {
   auto& playback = playbacks_.at(id);
-  if (tell) to_viewer(playback.viewer ? playback.viewer : last_viewer_, end_line(playback.call, *tell));
+  if (tell) tell_end(playback, *tell);
   const auto server = playback.server;
   forget(id);
   feed(TryEnded{id, server, outcome, true, load});
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -152,6 +152,7 @@
   void start_try(const SetUp& order);
   void end_try(PlaybackId id, Outcome outcome, const LoadReport& load, bool over);
   void stop_playing(PlaybackId id, Outcome outcome, const LoadReport& load, std::optional<int> tell);
+  void tell_end(const Playback& playback, int why);
   void forget(PlaybackId id);
   void feed(Event event);
   void carry_out(const Order& order);
@@ -188,6 +189,7 @@
   std::unordered_map<Link, ViewerLink> viewers_;
   std::vector<Link> parting_;
   Link last_viewer_ = 0;             // whose set-up played last
+  std::vector<std::string> untold_;  // ends for the next viewer who says something
   std::unordered_map<Link, ServerLink> links_;
   Link next_link_ = 1;
   std::deque<VideoServer> servers_;
--- a/tests/program/platform_crossings_test.cpp
+++ b/tests/program/platform_crossings_test.cpp
@@ -554,6 +554,41 @@
 
 // ---- answers ----
 
+TEST_F(Crossing, WhoeverSendsAnothersIdIsNotToldOfItsEndInItsViewersPlace) {
+  const std::string at = "home:0;copies:2;top:1;at:s-a";
+  come();
+  hear(viewer, offer(call, "4294967", "", at));
+  const auto link = connect("10.1.0.1");
+  come(viewer + 1);
+  auto other = offer(call, "4294967", "", at);
+  other.replace(other.find("\"t1\""), 4, "\"t9\"");
+  hear(viewer + 1, other);
+  EXPECT_EQ(sent(viewer + 1), end_line(call_number, cause::unusable)) << "and has its word";
+  hear(link, release(16));
+  EXPECT_EQ(sent(viewer), end_line(call_number, 16));
+}
+
+TEST_F(Crossing, AnEndIsToldOnWhateverConnectionIsOpenOnceItsOwnHasEnded) {
+  const auto link = playing();
+  come(viewer + 1);
+  hear(viewer + 1, test_words());
+  sent(viewer + 1);
+  come(viewer + 2);  // has said nothing yet
+  happen(Ended{viewer, Ending::reset});
+  hear(link, release(16));
+  EXPECT_EQ(sent(viewer + 1), end_line(call_number, 16));
+}
+
+TEST_F(Crossing, AnEndThatNobodyIsThereToHearIsToldToTheNextWhoSpeaks) {
+  const auto link = playing();
+  happen(Ended{viewer, Ending::reset});
+  hear(link, release(16));
+  come(viewer + 1);
+  EXPECT_EQ(sent(viewer + 1), "");
+  hear(viewer + 1, test_words());
+  EXPECT_EQ(sent(viewer + 1), end_line(call_number, 16) + tested_line(1, true));
+}
+
 TEST_F(Crossing, AnswersInPiecesAreOneAnswer) {
   const auto link = connected_to_a();
   for (const char c : offer()) hear(viewer, std::string(1, c));
