Tell at once the end of a playback whose server released it before it was handed over

Seen by reading: after a restart a server says a release once, on the next connection; a request may open that before the playback is handed over, and its end was then passed over for good. Lines: release_heard returned on ids not known. Change: releases of unknown ids are kept 10 s, 4096 at most; a hand-over of one is answered with its end. Also a tie between unused connections goes by number, not by hash order. Test: both orders; fails without the change.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t description_most = 8 * 1024;
 constexpr std::size_t name_most = 256;
 constexpr std::size_t most_unsaid = 4096;
+constexpr std::size_t most_released = 4096;
+constexpr Span handed_over_in{10s};  // from a server's release of what is not known yet
 constexpr int refused_is_gone = 2;
 constexpr double most_left = 2;              // of a plan's abandon time
 constexpr double idle_part = 0.8;            // of a server's idle timeout: no set-up near its end
@@ -175,6 +177,7 @@
       over.push_back(number);
   }
   for (const auto link : over) end_server_link(link);
+  while (!released_.empty() && now_ - released_.front().at > handed_over_in) released_.pop_front();
   // Guards against a server's idle timeout crossing a set-up on its way, which may then have run for all that
   // is known; and against connections that nobody needs, which are scarce at servers.
   if (terms_.idle_limit > Span(0)) {
@@ -538,6 +541,13 @@
     }
     return turn_off(link, message.call, "call: in use");
   }
+  // Guards against a playback handed over just after its server released it, which is said no second time.
+  if (!at.empty()) {
+    const auto over = std::find_if(released_.begin(), released_.end(), [&](const Released& one) {
+      return one.call == message.call && servers_[one.server].name == at;
+    });
+    if (over != released_.end()) return to_viewer(link, end_line(message.call, over->why));
+  }
   const auto id = admit(message.call, link, request, message.fields.at("key"));
   request.playback = id;
   request.title = title(message.fields.at("key"));
@@ -630,12 +640,13 @@
 bool Platform::make_place_for_dial(bool for_try) {
   if (links_.size() < most_server_links()) return true;
   Link longest = 0;
-  std::pair<bool, Span> least;
+  std::tuple<bool, Span, Link> least;
   for (const auto& [number, link] : links_) {
     if (!link.up || !link.tries.empty() || !link.tests.empty()) continue;
     const auto& server = servers_[link.server];
-    const std::pair rank(!server.playing.empty() || !server.unsaid.empty(), link.used_at);
-    if ((rank.first && !for_try) || (longest != 0 && rank >= least)) continue;
+    const bool wanted = !server.playing.empty() || !server.unsaid.empty();
+    const std::tuple rank(wanted, link.used_at, number);
+    if ((wanted && !for_try) || (longest != 0 && rank >= least)) continue;
     longest = number;
     least = rank;
   }
@@ -795,7 +806,11 @@
   const auto id = links_.at(number).server;
   to_server(number, released_bytes(message.call));
   const auto known = calls_.find(message.call);
-  if (known == calls_.end()) return;
+  if (known == calls_.end()) {
+    released_.push_back({message.call, id, *message.cause, now_});
+    if (released_.size() > most_released) released_.pop_front();
+    return;
+  }
   auto& playback = playbacks_.at(known->second);
   if (playback.server != id) return;
   const auto load = message.load ? load_report(*message.load) : LoadReport{};
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -87,6 +87,12 @@
     bool rung_unsaid = false;
     Wheel<std::uint64_t>::Handle limit;
   };
+  struct Released {
+    CallId call = 0;
+    ServerId server = 0;
+    int why = 0;
+    Span at{0};
+  };
   enum class Ring { module, try_limit, dial, probe, sweep, part, channel, stop };
   struct Bell {
     Ring ring = Ring::module;
@@ -201,6 +207,7 @@
   std::vector<TitleId> free_titles_;
   TitleId next_title_ = 0;
   CallId next_test_ = 0;
+  std::deque<Released> released_;  // of late, of what nobody knows here
   Channel channel_;
   Link channel_link_ = 0;
   Wheel<std::uint64_t>::Handle channel_look_;
--- a/tests/program/platform_crossings_test.cpp
+++ b/tests/program/platform_crossings_test.cpp
@@ -552,6 +552,31 @@
   EXPECT_TRUE(left());
 }
 
+// A server says a release once on the next connection, which another request may have opened.
+TEST_F(Crossing, AReleaseHeardBeforeItsPlaybackIsHandedOverIsItsEnd) {
+  const auto link = connected_to_a();
+  hear(link, release(41));
+  sent(viewer);
+  const auto told_again = offer(call, "4294967", "", "home:0;copies:2;top:1;at:s-a");
+  hear(viewer, told_again);
+  EXPECT_EQ(sent(viewer), end_line(call_number, 41));
+  EXPECT_TRUE(of_kind<CarriedOver>(told).empty());
+  EXPECT_EQ(core->held().playbacks, 0u);
+  pass(11s);
+  come(viewer + 1);
+  hear(viewer + 1, told_again);
+  EXPECT_EQ(of_kind<CarriedOver>(told).size(), 1u) << "it is not held for ever";
+}
+
+TEST_F(Crossing, AReleaseHeardAfterItsPlaybackIsHandedOverIsItsEnd) {
+  const auto link = connected_to_a();
+  hear(viewer, offer(call, "4294967", "", "home:0;copies:2;top:1;at:s-a"));
+  EXPECT_EQ(of_kind<CarriedOver>(told).size(), 1u);
+  hear(link, release(41));
+  EXPECT_EQ(sent(viewer), end_line(call_number, 41));
+  EXPECT_EQ(core->held().playbacks, 0u);
+}
+
 // ---- answers ----
 
 TEST_F(Crossing, WhoeverSendsAnothersIdIsNotToldOfItsEndInItsViewersPlace) {
