--- a/tests/program/rules_module_test.cpp
+++ b/tests/program/rules_module_test.cpp
@@ -145,5 +145,35 @@
   for (std::uint32_t seed = 1; seed <= 5; ++seed) EXPECT_LE(fullest_window(100, false, 2, 0, seed), 1);
 }
 
+// A probe for which this machine had no descriptor or port is no fault of the server's.
+TEST(RulesOfTheModule, AProbeThatNeverLeftRestsNoServer) {
+  for (const bool left : {false, true}) {
+    SiteTerms terms;
+    terms.plans.resize(1);
+    terms.plans[0].startup_target = 2s;
+    terms.rung_kb = {1};
+    terms.kind_streams = {10};
+    terms.weights_told = true;
+    terms.link_kb_per_weight = 100;
+    terms.most_tries = 2;
+    terms.may_probe = true;
+    Brain brain(terms, 1);
+    ServerList list;
+    list.entries.push_back({});
+    brain.handle(0s, list);
+    Request request;
+    request.abandon_at = 5s;
+    const auto first = brain.handle(1ms, request);
+    ASSERT_TRUE(std::any_of(first.begin(), first.end(),
+                            [](const Order& order) { return std::holds_alternative<Probe>(order); }));
+    bool set_up = false;
+    for (int probe = 0; probe < 2; ++probe) {  // it may ask once more
+      for (const auto& order : brain.handle(2ms, ProbeEnded{0, false, {}, left}))
+        set_up = set_up || std::holds_alternative<violettide::SetUp>(order);
+    }
+    EXPECT_EQ(set_up, !left);
+  }
+}
+
 }  // namespace
 }  // namespace violettide
