--- a/bench/hls.cpp
+++ b/bench/hls.cpp
@@ -163,14 +163,14 @@
   static std::string answer(const std::string& body) {
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
-  void hand(const Happening& what) { front_->handle(now_, what, acts_); }
+  void hand(const IoEvent& what) { front_->handle(now_, what, actions_); }
   std::string ask(Link link, const std::string& target, const std::string& fields) {
     const auto request = "GET " + target + " HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n";
     hand(Received{link, request});
     std::string got;
-    while (!acts_.empty()) {
-      std::vector<Act> doing;
-      doing.swap(acts_);
+    while (!actions_.empty()) {
+      std::vector<Action> doing;
+      doing.swap(actions_);
       for (auto& act : doing) {
         if (const auto* dial = std::get_if<Dial>(&act)) hand(Connected{dial->link});
         auto* send = std::get_if<Send>(&act);
@@ -191,7 +191,7 @@
 
   std::size_t players_, window_;
   std::unique_ptr<manager::Manager> front_;
-  std::vector<Act> acts_;
+  std::vector<Action> actions_;
   std::vector<std::string> media_;
   std::string lists_, list_;
   Span now_ = 1ms;
--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -28,15 +28,15 @@
 class Leaves : public Core {
  public:
   std::atomic<bool> leave{false};
-  void handle(Span now, const Happening& what, std::vector<Act>& acts) final {
-    happened(now, what, acts);
+  void handle(Span now, const IoEvent& what, std::vector<Action>& actions) final {
+    happened(now, what, actions);
     if (now >= look_at_) {
       look_at_ = now + 20ms;
-      if (leave) acts.push_back(Leave{});
+      if (leave) actions.push_back(Leave{});
     }
-    if (std::holds_alternative<Woken>(what) || !woken_) woken_ = true, acts.push_back(WakeAt{now + 20ms});
+    if (std::holds_alternative<Woken>(what) || !woken_) woken_ = true, actions.push_back(WakeAt{now + 20ms});
   }
-  virtual void happened(Span now, const Happening& what, std::vector<Act>& acts) = 0;
+  virtual void happened(Span now, const IoEvent& what, std::vector<Action>& actions) = 0;
 
  private:
   Span look_at_{0};
@@ -48,10 +48,10 @@
  public:
   QuickBox(std::size_t bytes) : object_(bytes, 'v') {}
   std::uint16_t port = 0;
-  void happened(Span, const Happening& what, std::vector<Act>& acts) override {
+  void happened(Span, const IoEvent& what, std::vector<Action>& actions) override {
     if (const auto* ended = std::get_if<Ended>(&what)) readers_.erase(ended->link);
     if (const auto* half = std::get_if<HalfClosed>(&what))
-      acts.push_back(Hang{half->link, false}), readers_.erase(half->link);
+      actions.push_back(Close{half->link, false}), readers_.erase(half->link);
     const auto* received = std::get_if<Received>(&what);
     if (!received) return;
     auto& reader = readers_[received->link];
@@ -61,13 +61,13 @@
         const auto list = R"({"revision":1,"clock_ms":1,"boxes":[{"name":"b","address":"127.0.0.1","port":)" +
                           std::to_string(port) +
                           R"(,"state":"ready","kind":0,"cell":0,"hall":"h","weight":1}]})";
-        acts.push_back(Send{received->link, http::head_text(200, {}, list.size(), false) + list});
-        acts.push_back(Hang{received->link, true});
+        actions.push_back(Send{received->link, http::head_text(200, {}, list.size(), false) + list});
+        actions.push_back(Close{received->link, true});
         readers_.erase(received->link);
         return;
       }
       const bool probe = request->method == "HEAD";
-      acts.push_back(
+      actions.push_back(
           Send{received->link,
                http::head_text(200,
                                {{"Content-Type", "video/mp4"},
@@ -87,16 +87,16 @@
 class Relay : public Leaves {
  public:
   std::uint16_t box = 0;
-  void happened(Span, const Happening& what, std::vector<Act>& acts) override {
+  void happened(Span, const IoEvent& what, std::vector<Action>& actions) override {
     std::visit(Visit{
                    [&](const Accepted& a) { viewers_[a.link]; },
                    [&](const Connected& c) {
                      auto& link = boxes_[c.link];
                      link.connected = true;
-                     acts.push_back(Send{c.link, std::move(link.waiting)});
+                     actions.push_back(Send{c.link, std::move(link.waiting)});
                    },
                    [&](const Received& r) {
-                     if (r.link >= first_accepted) return request(r.link, r.bytes, acts);
+                     if (r.link >= first_accepted) return request(r.link, r.bytes, actions);
                      auto& link = boxes_[r.link];
                      auto part = link.reader.push(r.bytes);
                      if (part.head) {
@@ -106,14 +106,14 @@
                            fields.emplace_back(name, value);
                        }
                        fields.emplace_back("Via", "1.1 relay");
-                       acts.push_back(Send{
+                       actions.push_back(Send{
                            link.viewer, http::head_text(part.head->status, fields, part.head->length, true)});
                      }
-                     if (!part.body.empty()) acts.push_back(Send{link.viewer, std::move(part.body)});
+                     if (!part.body.empty()) actions.push_back(Send{link.viewer, std::move(part.body)});
                      if (part.done) idle_.push_back(r.link);
                    },
                    [&](const HalfClosed& h) {
-                     acts.push_back(Hang{h.link, false}), viewers_.erase(h.link);
+                     actions.push_back(Close{h.link, false}), viewers_.erase(h.link);
                    },
                    [&](const Ended& e) { viewers_.erase(e.link); },
                    [&](const auto&) {},
@@ -128,14 +128,14 @@
     bool connected = false;
     std::string waiting;
   };
-  void request(Link viewer, std::string_view bytes, std::vector<Act>& acts) {
+  void request(Link viewer, std::string_view bytes, std::vector<Action>& actions) {
     auto& reader = viewers_[viewer];
     reader.push(bytes);
     while (auto request = reader.next()) {
       Link to = 0;
       if (idle_.empty()) {
         to = next_++;
-        acts.push_back(Dial{to, "127.0.0.1", box});
+        actions.push_back(Dial{to, "127.0.0.1", box});
       } else {
         to = idle_.back();
         idle_.pop_back();
@@ -146,7 +146,7 @@
       request->fields.emplace_back("Via", "1.1 relay");
       auto text = http::request_text("GET", request->target, request->fields);
       if (link.connected)
-        acts.push_back(Send{to, std::move(text)});
+        actions.push_back(Send{to, std::move(text)});
       else
         link.waiting = std::move(text);
     }
@@ -160,8 +160,8 @@
 class Fronted : public Leaves {
  public:
   explicit Fronted(manager::FrontTerms terms) : manager_(std::move(terms), 1, "", nullptr) {}
-  void happened(Span now, const Happening& what, std::vector<Act>& acts) override {
-    manager_.handle(now, what, acts);
+  void happened(Span now, const IoEvent& what, std::vector<Action>& actions) override {
+    manager_.handle(now, what, actions);
   }
 
  private:
@@ -175,13 +175,13 @@
       : port_(port), connections_(connections), left_(requests) {}
   std::vector<double> times_us;
   std::size_t failed = 0;
-  void handle(Span, const Happening& what, std::vector<Act>& acts) override {
+  void handle(Span, const IoEvent& what, std::vector<Action>& actions) override {
     if (std::holds_alternative<Woken>(what) && links_.empty()) {
       for (Link link = 1; link <= connections_; ++link)
-        links_[link], acts.push_back(Dial{link, "127.0.0.1", port_});
+        links_[link], actions.push_back(Dial{link, "127.0.0.1", port_});
       return;
     }
-    if (const auto* connected = std::get_if<Connected>(&what)) return ask(connected->link, acts);
+    if (const auto* connected = std::get_if<Connected>(&what)) return ask(connected->link, actions);
     if (const auto* received = std::get_if<Received>(&what)) {
       auto& peer = links_[received->link];
       const auto part = peer.reader.push(received->bytes);
@@ -189,10 +189,10 @@
       if (!part.done) return;
       times_us.push_back(
           std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - peer.sent).count());
-      return ask(received->link, acts);
+      return ask(received->link, actions);
     }
     if (std::holds_alternative<Ended>(what) || std::holds_alternative<HalfClosed>(what))
-      ++failed, acts.push_back(Leave{});
+      ++failed, actions.push_back(Leave{});
   }
 
  private:
@@ -201,9 +201,9 @@
     std::chrono::steady_clock::time_point sent;
     std::size_t objects = 0;
   };
-  void ask(Link link, std::vector<Act>& acts) {
+  void ask(Link link, std::vector<Action>& actions) {
     if (left_ == 0) {
-      if (--connections_ == 0) acts.push_back(Leave{});
+      if (--connections_ == 0) actions.push_back(Leave{});
       return;
     }
     --left_;
@@ -217,7 +217,7 @@
     for (auto& field : hints::cmcd_headers(said)) fields.push_back(std::move(field));
     peer.reader.expect(false);
     peer.sent = std::chrono::steady_clock::now();
-    acts.push_back(Send{
+    actions.push_back(Send{
         link, http::request_text(
                   "GET", "/a/title-" + std::to_string(link % 50) + "/r0/" + std::to_string(peer.objects++),
                   fields)});
@@ -307,32 +307,32 @@
       "{\"revision\":1,\"clock_ms\":1,\"boxes\":[{\"name\":\"b\",\"address\":\"127.0.0.1\",\"port\":1,"
       "\"state\":\"ready\",\"kind\":0,\"cell\":0,\"hall\":\"h\",\"weight\":1}]}",
       nullptr);
-  std::vector<Act> acts;
+  std::vector<Action> actions;
   Span now = 1ms;
-  front.handle(now, Woken{}, acts);
+  front.handle(now, Woken{}, actions);
   const auto before = mallinfo2();
   const auto used_before = before.uordblks + before.hblkhd;
   for (std::size_t i = 0; i < playbacks; ++i) {
     const auto viewer = first_accepted + static_cast<Link>(i);
-    acts.clear();
-    front.handle(now, Accepted{viewer, 0}, acts);
+    actions.clear();
+    front.handle(now, Accepted{viewer, 0}, actions);
     front.handle(now,
                  Received{viewer, "GET /a/title-" + std::to_string(i) +
                                       "/r0/0 HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"session-" +
                                       std::to_string(i) + "\"\r\n\r\n"},
-                 acts);
+                 actions);
     // Probes are answered and the try is answered, as by a box that is well.
     for (int round = 0; round < 6; ++round) {
-      std::vector<Act> doing;
-      doing.swap(acts);
+      std::vector<Action> doing;
+      doing.swap(actions);
       for (const auto& act : doing) {
-        if (const auto* dial = std::get_if<Dial>(&act)) front.handle(now, Connected{dial->link}, acts);
+        if (const auto* dial = std::get_if<Dial>(&act)) front.handle(now, Connected{dial->link}, actions);
         const auto* send = std::get_if<Send>(&act);
         if (!send || send->link >= first_accepted) continue;
         if (send->bytes.starts_with("HEAD"))
-          front.handle(now, Received{send->link, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}, acts);
+          front.handle(now, Received{send->link, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}, actions);
         else
-          front.handle(now, Received{send->link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"}, acts);
+          front.handle(now, Received{send->link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"}, actions);
       }
     }
   }
@@ -349,50 +349,66 @@
   terms.catalogued = true;
   terms.site.may_probe = false;
   manager::Manager front(terms, 1,
-                         "{\"revision\":1,\"clock_ms\":1,\"boxes\":[{\"name\":\"b\",\"address\":\"127.0.0.1\",\"port\":1,\"state\":"
+                         "{\"revision\":1,\"clock_ms\":1,\"boxes\":[{\"name\":\"b\",\"address\":\"127.0.0."
+                         "1\",\"port\":1,\"state\":"
                          "\"ready\",\"kind\":0,\"cell\":0,\"hall\":\"h\",\"weight\":1}]}",
                          nullptr);
   constexpr std::size_t titles = 10'000;
   std::vector<catalogue::Recording> all;
   for (std::size_t i = 0; i < titles; ++i)
-    all.push_back({"title-" + std::to_string(i), {{"r", 0, "", 300, std::chrono::seconds(90)}}, {{"b", catalogue::LocationState::here, 0}}});
+    all.push_back({"title-" + std::to_string(i),
+                   {{"r", 0, "", 300, std::chrono::seconds(90)}},
+                   {{"b", catalogue::LocationState::here, 0}}});
   front.catalogue().restore(1, all);
-  std::vector<Act> acts;
+  std::vector<Action> actions;
   Span now = 1ms;
-  front.handle(now, Woken{}, acts);
+  front.handle(now, Woken{}, actions);
   std::vector<double> times;
   catalogue::Revision kept = 1;
   for (std::size_t i = 0; i < playbacks + set_ups; ++i) {
     now += 100us;
-    acts.clear();
+    actions.clear();
     const auto viewer = first_accepted + static_cast<Link>(2 * i);
     for (std::size_t c = 0; i >= playbacks && c < changes_each; ++c) {
       const auto title = "title-" + std::to_string((i * 31 + c) % titles);
       const auto control = viewer + 1;
       const std::string body = R"({"state":"here","since_ms":)" + std::to_string(i) + "}";
-      front.handle(now, Accepted{control, 1}, acts);
-      front.handle(now, Received{control, "PUT /catalogue/recordings/" + title + "/locations/b HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body}, acts);
-      front.handle(now, KeepDone{++kept, ""}, acts);
-      front.handle(now, Ended{control, Ending::finished}, acts);
+      front.handle(now, Accepted{control, 1}, actions);
+      front.handle(now,
+                   Received{control, "PUT /catalogue/recordings/" + title +
+                                         "/locations/b HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                                         std::to_string(body.size()) + "\r\n\r\n" + body},
+                   actions);
+      front.handle(now, KeepDone{++kept, ""}, actions);
+      front.handle(now, Ended{control, Ending::finished}, actions);
     }
-    acts.clear();
+    actions.clear();
     const auto from = std::chrono::steady_clock::now();
-    front.handle(now, Accepted{viewer, 0}, acts);
-    front.handle(now, Received{viewer, "GET /a/title-" + std::to_string(i % titles) + "/r0/0 HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"s" + std::to_string(i) + "\"\r\n\r\n"}, acts);
-    std::vector<Act> doing;
-    doing.swap(acts);
+    front.handle(now, Accepted{viewer, 0}, actions);
+    front.handle(now,
+                 Received{viewer, "GET /a/title-" + std::to_string(i % titles) +
+                                      "/r0/0 HTTP/1.1\r\nHost: x\r\nCMCD-Session: sid=\"s" +
+                                      std::to_string(i) + "\"\r\n\r\n"},
+                 actions);
+    std::vector<Action> doing;
+    doing.swap(actions);
     for (const auto& act : doing) {
-      if (const auto* dial = std::get_if<Dial>(&act)) front.handle(now, Connected{dial->link}, acts);
+      if (const auto* dial = std::get_if<Dial>(&act)) front.handle(now, Connected{dial->link}, actions);
     }
     for (const auto& act : doing) {
       const auto* dial = std::get_if<Dial>(&act);
-      if (dial) front.handle(now, Received{dial->link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"}, acts);
+      if (dial)
+        front.handle(now, Received{dial->link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"}, actions);
       const auto* send = std::get_if<Send>(&act);
-      if (send && send->link < first_accepted) front.handle(now, Received{send->link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"}, acts);
+      if (send && send->link < first_accepted)
+        front.handle(now, Received{send->link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"}, actions);
     }
-    if (i >= playbacks) times.push_back(std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - from).count());
+    if (i >= playbacks)
+      times.push_back(
+          std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - from).count());
   }
-  if (front.held().playbacks != playbacks + set_ups) std::fprintf(stderr, "only %zu playbacks are held\n", front.held().playbacks);
+  if (front.held().playbacks != playbacks + set_ups)
+    std::fprintf(stderr, "only %zu playbacks are held\n", front.held().playbacks);
   std::sort(times.begin(), times.end());
   return {times[times.size() / 2], times[times.size() * 99 / 100]};
 }
--- a/bench/seats.cpp
+++ b/bench/seats.cpp
@@ -136,14 +136,14 @@
   std::uint64_t ticket = 0;
   for (int i = 0; i < seats; ++i) {
     for (int round = 0; round < 2; ++round) {
-      const auto acts = round == 0
-                            ? ledger.handle(1s, Claimed{{"team-" + std::to_string(i % 1000),
-                                                         "viewer-" + std::to_string(i) + "/0/title/session"},
-                                                        seats,
-                                                        1s,
-                                                        300s})
-                            : ledger.handle(1s, Kept{ticket});
-      for (const auto& act : acts) {
+      const auto actions =
+          round == 0 ? ledger.handle(1s, Claimed{{"team-" + std::to_string(i % 1000),
+                                                  "viewer-" + std::to_string(i) + "/0/title/session"},
+                                                 seats,
+                                                 1s,
+                                                 300s})
+                     : ledger.handle(1s, Kept{ticket});
+      for (const auto& act : actions) {
         if (const auto* keep = std::get_if<KeepRecord>(&act)) ticket = keep->ticket;
       }
     }
--- a/src/catalogue/keeper.cpp
+++ b/src/catalogue/keeper.cpp
@@ -8,9 +8,9 @@
     : terms_(terms), writer_(std::move(boxes), rungs) {}
 
 std::vector<KeeperAct> Keeper::handle(const KeeperEvent& event) {
-  std::vector<KeeperAct> acts;
-  std::visit([&](const auto& what) { on(what, acts); }, event);
-  return acts;
+  std::vector<KeeperAct> actions;
+  std::visit([&](const auto& what) { on(what, actions); }, event);
+  return actions;
 }
 
 // Guards against a tool or a feed that empties the catalogue at a stroke by mistake.
@@ -22,61 +22,61 @@
          terms_.shrink_believed * static_cast<double>(before);
 }
 
-void Keeper::on(const Asked& what, std::vector<KeeperAct>& acts) {
+void Keeper::on(const Asked& what, std::vector<KeeperAct>& actions) {
   if (waiting_.size() >= terms_.most_waiting) {
-    acts.push_back(Answer{
+    actions.push_back(Answer{
         what.ticket, Answered::busy, writer_.present()->revision, {}, "too many changes wait to be kept"});
     return;
   }
   waiting_.push_back({what, what.changes, std::nullopt, 0});
-  next(acts);
+  next(actions);
 }
 
-void Keeper::on(const Fed& what, std::vector<KeeperAct>& acts) {
+void Keeper::on(const Fed& what, std::vector<KeeperAct>& actions) {
   // What is queued counts as had, or each poll while a keep is slow would bring it again.
   Revision had = writer_.present()->revision + waiting_.size();
   for (std::size_t i = 0; i < what.batches.size(); ++i) {
     const auto revision = what.from + i;
     if (revision <= had) continue;  // told twice
     if (revision != had + 1) {
-      acts.push_back(AskFeed{
+      actions.push_back(AskFeed{
           had, true, "batch " + std::to_string(revision) + " does not follow " + std::to_string(had)});
       return;
     }
     waiting_.push_back({std::nullopt, what.batches[i], std::nullopt, revision});
     had = revision;
   }
-  next(acts);
-  const bool asks =
-      std::any_of(acts.begin(), acts.end(), [](auto& act) { return std::holds_alternative<AskFeed>(act); });
-  if (waiting_.empty() && !asks) acts.push_back(AskFeed{writer_.present()->revision, false, ""});
+  next(actions);
+  const bool asks = std::any_of(actions.begin(), actions.end(),
+                                [](auto& act) { return std::holds_alternative<AskFeed>(act); });
+  if (waiting_.empty() && !asks) actions.push_back(AskFeed{writer_.present()->revision, false, ""});
 }
 
-void Keeper::on(const FedWhole& what, std::vector<KeeperAct>& acts) {
+void Keeper::on(const FedWhole& what, std::vector<KeeperAct>& actions) {
   // Guards against a feed that fell behind its own word, or was restored from long ago.
   if (what.revision < writer_.present()->revision) {
-    acts.push_back(AskFeed{writer_.present()->revision, false,
-                           "a whole catalogue older than the one held: passed over"});
+    actions.push_back(AskFeed{writer_.present()->revision, false,
+                              "a whole catalogue older than the one held: passed over"});
     return;
   }
   std::erase_if(waiting_, [&](const auto& w) { return !w.asked && &w != &waiting_.front(); });
   waiting_.push_back({std::nullopt, {}, what, what.revision});
-  next(acts);
+  next(actions);
 }
 
-void Keeper::next(std::vector<KeeperAct>& acts) {
+void Keeper::next(std::vector<KeeperAct>& actions) {
   while (!keeping_ && !waiting_.empty()) {
-    if (begin(waiting_.front(), acts)) return;
+    if (begin(waiting_.front(), actions)) return;
     waiting_.pop_front();
   }
 }
 
 // True: it is on its way to the disk. False: it is answered, or let go.
-bool Keeper::begin(Waiting& waiting, std::vector<KeeperAct>& acts) {
+bool Keeper::begin(Waiting& waiting, std::vector<KeeperAct>& actions) {
   const auto present = writer_.present()->revision;
   const auto refuse = [&](Answered how, Bad bad, std::string cause) {
     if (waiting.asked)
-      acts.push_back(Answer{waiting.asked->ticket, how, present, std::move(bad), std::move(cause)});
+      actions.push_back(Answer{waiting.asked->ticket, how, present, std::move(bad), std::move(cause)});
     return false;
   };
   if (waiting.asked && waiting.asked->if_revision && *waiting.asked->if_revision != present)
@@ -98,8 +98,9 @@
   auto result = writer_.apply(waiting.changes);
   if (auto* bad = std::get_if<Bad>(&result)) {
     if (waiting.asked) return refuse(Answered::bad, *bad, bad->cause);
-    acts.push_back(AskFeed{present, !waiting.whole,
-                           "change " + std::to_string(bad->change) + ", " + bad->field + ": " + bad->cause});
+    actions.push_back(
+        AskFeed{present, !waiting.whole,
+                "change " + std::to_string(bad->change) + ", " + bad->field + ": " + bad->cause});
     return false;
   }
   auto& applied = std::get<Applied>(result);
@@ -110,7 +111,7 @@
     // A feed confirms by saying so again, be it of a later revision: nobody else can be asked.
     if (!waiting.asked && (!held_ || *held_ > waiting.expected)) {
       held_ = waiting.expected;
-      acts.push_back(AskFeed{present, waiting.whole.has_value(), cause});
+      actions.push_back(AskFeed{present, waiting.whole.has_value(), cause});
       std::erase_if(waiting_, [&](const auto& w) { return !w.asked && &w != &waiting; });
       return false;
     }
@@ -126,13 +127,13 @@
     keep.changes.clear();
     for (const auto& recording : waiting.whole->recordings) keep.changes.push_back(PutRecording{recording});
   }
-  acts.push_back(std::move(keep));
+  actions.push_back(std::move(keep));
   applying_ = std::move(applied);
   keeping_ = true;
   return true;
 }
 
-void Keeper::on(const Kept& what, std::vector<KeeperAct>& acts) {
+void Keeper::on(const Kept& what, std::vector<KeeperAct>& actions) {
   if (!keeping_ || waiting_.empty() || !applying_ || applying_->snapshot->revision != what.revision) return;
   auto done = std::move(waiting_.front());
   waiting_.pop_front();
@@ -142,11 +143,11 @@
   if (what.failed) {
     // Nothing of it is in force; those behind it meet the same disk and hear so themselves.
     if (done.asked)
-      acts.push_back(
+      actions.push_back(
           Answer{done.asked->ticket, Answered::not_kept, writer_.present()->revision, {}, *what.failed});
     else
-      acts.push_back(AskFeed{writer_.present()->revision, false, *what.failed});
-    return next(acts);
+      actions.push_back(AskFeed{writer_.present()->revision, false, *what.failed});
+    return next(actions);
   }
   Changed changed{applied.changed, done.whole.has_value()};
   writer_.commit(std::move(applied));
@@ -155,11 +156,11 @@
   else
     log_.emplace_back(what.revision, std::move(done.changes));
   while (log_.size() > terms_.batches_kept) log_.pop_front();
-  acts.push_back(std::move(changed));
-  if (done.asked) acts.push_back(Answer{done.asked->ticket, Answered::taken, what.revision, {}, ""});
+  actions.push_back(std::move(changed));
+  if (done.asked) actions.push_back(Answer{done.asked->ticket, Answered::taken, what.revision, {}, ""});
   const bool was_fed = !done.asked;
-  next(acts);
-  if (was_fed && waiting_.empty()) acts.push_back(AskFeed{writer_.present()->revision, false, ""});
+  next(actions);
+  if (was_fed && waiting_.empty()) actions.push_back(AskFeed{writer_.present()->revision, false, ""});
 }
 
 std::optional<std::string> Keeper::restore(Revision revision, const std::vector<Recording>& recordings) {
--- a/src/catalogue/keeper.h
+++ b/src/catalogue/keeper.h
@@ -81,12 +81,12 @@
     std::optional<FedWhole> whole;
     Revision expected = 0;  // of a fed one
   };
-  void next(std::vector<KeeperAct>& acts);
-  bool begin(Waiting& waiting, std::vector<KeeperAct>& acts);
-  void on(const Asked& what, std::vector<KeeperAct>& acts);
-  void on(const Kept& what, std::vector<KeeperAct>& acts);
-  void on(const Fed& what, std::vector<KeeperAct>& acts);
-  void on(const FedWhole& what, std::vector<KeeperAct>& acts);
+  void next(std::vector<KeeperAct>& actions);
+  bool begin(Waiting& waiting, std::vector<KeeperAct>& actions);
+  void on(const Asked& what, std::vector<KeeperAct>& actions);
+  void on(const Kept& what, std::vector<KeeperAct>& actions);
+  void on(const Fed& what, std::vector<KeeperAct>& actions);
+  void on(const FedWhole& what, std::vector<KeeperAct>& actions);
   bool shrinks(const Applied& applied) const;
 
   KeeperTerms terms_;
--- a/src/cli/catalogue.cpp
+++ b/src/cli/catalogue.cpp
@@ -113,46 +113,46 @@
   std::function<bool(int status, const std::string& body)> take;
   std::string failed;
 
-  void handle(Span now, const Happening& what, std::vector<Act>& acts) override {
+  void handle(Span now, const IoEvent& what, std::vector<Action>& actions) override {
     if (!began_) {
       began_ = true;
-      acts.push_back(Dial{1, address, port});
-      acts.push_back(WakeAt{now + limit});
+      actions.push_back(Dial{1, address, port});
+      actions.push_back(WakeAt{now + limit});
       heard_ = now;
     }
-    if (std::holds_alternative<Connected>(what)) return ask(acts);
+    if (std::holds_alternative<Connected>(what)) return ask(actions);
     if (const auto* received = std::get_if<Received>(&what)) {
       heard_ = now;
       auto part = reader_.push(received->bytes);
-      if (part.fault) return end(part.fault->cause, acts);
+      if (part.fault) return end(part.fault->cause, actions);
       if (part.head) status_ = part.head->status;
       body_ += part.body;
       if (!part.done) return;
       const bool on = take(status_, std::exchange(body_, {}));
-      return on ? ask(acts) : acts.push_back(Leave{});
+      return on ? ask(actions) : actions.push_back(Leave{});
     }
     if (std::holds_alternative<Ended>(what) || std::holds_alternative<HalfClosed>(what))
-      return end("no connection to " + address + ":" + std::to_string(port), acts);
-    if (std::holds_alternative<StopAsked>(what)) return end("stopped", acts);
+      return end("no connection to " + address + ":" + std::to_string(port), actions);
+    if (std::holds_alternative<StopAsked>(what)) return end("stopped", actions);
     if (std::holds_alternative<Woken>(what) && now - heard_ >= limit)
-      return end("no answer within a minute", acts);
-    if (std::holds_alternative<Woken>(what)) acts.push_back(WakeAt{heard_ + limit});
+      return end("no answer within a minute", actions);
+    if (std::holds_alternative<Woken>(what)) actions.push_back(WakeAt{heard_ + limit});
   }
 
  private:
   static constexpr Span limit = 60s;
-  void ask(std::vector<Act>& acts) {
+  void ask(std::vector<Action>& actions) {
     const auto one = next();
-    if (!one) return acts.push_back(Leave{});
+    if (!one) return actions.push_back(Leave{});
     reader_.expect(false);
     http::Fields fields{{"Host", address},
                         {"Content-Type", "application/json"},
                         {"Content-Length", std::to_string(one->body.size())}};
-    acts.push_back(Send{1, http::request_text(one->method, one->target, fields) + one->body});
+    actions.push_back(Send{1, http::request_text(one->method, one->target, fields) + one->body});
   }
-  void end(std::string cause, std::vector<Act>& acts) {
+  void end(std::string cause, std::vector<Action>& actions) {
     failed = std::move(cause);
-    acts.push_back(Leave{});
+    actions.push_back(Leave{});
   }
   http::ResponseReader reader_;
   bool began_ = false;
--- a/src/cli/services.cpp
+++ b/src/cli/services.cpp
@@ -85,8 +85,8 @@
 // A core made after its loop, as it must know the ports that the loop bound.
 class Later : public Core {
  public:
-  void handle(Span now, const Happening& what, std::vector<Act>& acts) override {
-    if (core) core->handle(now, what, acts);
+  void handle(Span now, const IoEvent& what, std::vector<Action>& actions) override {
+    if (core) core->handle(now, what, actions);
   }
   std::unique_ptr<Core> core;
 };
--- a/src/entitlement/ledger/ledger.cpp
+++ b/src/entitlement/ledger/ledger.cpp
@@ -96,8 +96,8 @@
 }
 
 std::vector<LedgerAct> Ledger::handle(Span now, const LedgerEvent& event) {
-  std::vector<LedgerAct> acts;
-  acts_ = &acts;
+  std::vector<LedgerAct> actions;
+  actions_ = &actions;
   now_ = std::max(now_, now);
   std::visit([this](const auto& what) { on(what); }, event);
   // What a manager tells itself goes the way that others' words go.
@@ -106,21 +106,21 @@
     to_self_.pop_front();
     std::visit([this](const auto& said) { heard(terms_.own, said); }, message);
   }
-  acts_ = nullptr;
-  return acts;
+  actions_ = nullptr;
+  return actions;
 }
 
 void Ledger::tell(Peer to, Message message) {
   if (to == terms_.own)
     to_self_.push_back(std::move(message));
   else
-    acts_->push_back(Tell{to, std::move(message)});
+    actions_->push_back(Tell{to, std::move(message)});
 }
 
 std::uint64_t Ledger::keep(Record record) {
   if (record.what == Record::What::asked || record.what == Record::What::given)
     unkept_.emplace_back(next_ticket_, record.key);
-  acts_->push_back(KeepRecord{next_ticket_, std::move(record)});
+  actions_->push_back(KeepRecord{next_ticket_, std::move(record)});
   return next_ticket_++;
 }
 
@@ -130,7 +130,7 @@
 
 void Ledger::on(const Claimed& what) {
   if (what.until <= now_) {
-    acts_->push_back(TurnAway{TurnAway::Why::too_late, what.key, Span(0)});
+    actions_->push_back(TurnAway{TurnAway::Why::too_late, what.key, Span(0)});
     return;
   }
   const auto found = own_.find(what.key);
@@ -144,7 +144,7 @@
         own.asked_at = now_;
         own.state = terms_.planted.keeps_after_restart ? Own::State::held : Own::State::keeping;
         if (own.state == Own::State::held) {
-          acts_->push_back(Admit{what.key, own.held_until});
+          actions_->push_back(Admit{what.key, own.held_until});
           return;
         }
         own.ticket =
@@ -153,10 +153,10 @@
       case Own::State::held:
         // Its seat is here already: a retry, or a renewal.
         if (own.held_until <= now_) {
-          acts_->push_back(TurnAway{TurnAway::Why::too_late, what.key, Span(0)});
+          actions_->push_back(TurnAway{TurnAway::Why::too_late, what.key, Span(0)});
           return;
         }
-        acts_->push_back(Admit{what.key, own.held_until});
+        actions_->push_back(Admit{what.key, own.held_until});
         if (what.until > own.until) {
           own.until = what.until;
           own.seats = what.seats;
@@ -176,7 +176,7 @@
     }
   }
   if (own_.size() >= terms_.most_claims && found == own_.end()) {
-    acts_->push_back(TurnAway{TurnAway::Why::too_many, what.key, terms_.ask_limit});
+    actions_->push_back(TurnAway{TurnAway::Why::too_many, what.key, terms_.ask_limit});
     return;
   }
   Own own;
@@ -244,10 +244,10 @@
   if (own.state == Own::State::asking) {
     own.state = Own::State::held;
     own.held_until = given.until;
-    acts_->push_back(Admit{given.key, given.until});
+    actions_->push_back(Admit{given.key, given.until});
   } else if (own.state == Own::State::held && given.until > own.held_until) {
     own.held_until = given.until;
-    acts_->push_back(Admit{given.key, given.until});
+    actions_->push_back(Admit{given.key, given.until});
   }
   if (own.held_until >= own.until) own.renewing = false;
 }
@@ -259,7 +259,7 @@
     return;
   auto& own = found->second;
   if (own.state == Own::State::asking) {
-    acts_->push_back(TurnAway{TurnAway::Why::no_seat, refused.key, refused.free_in});
+    actions_->push_back(TurnAway{TurnAway::Why::no_seat, refused.key, refused.free_in});
     // The owner has nothing of it; that is kept, so that a restart does not ask about it.
     keep({Record::What::gave_back, refused.key, terms_.own, own.number, 0, Span(0), own.until});
     own_.erase(found);
@@ -282,9 +282,9 @@
   if (found == own_.end() || found->second.number != taken.number || from != owner_of(terms_, taken.key.team))
     return;
   if (found->second.state == Own::State::held)
-    acts_->push_back(EndPlayback{EndPlayback::Why::elsewhere, taken.key});
+    actions_->push_back(EndPlayback{EndPlayback::Why::elsewhere, taken.key});
   else if (found->second.state == Own::State::asking || found->second.state == Own::State::keeping)
-    acts_->push_back(TurnAway{TurnAway::Why::no_seat, taken.key, Span(0)});
+    actions_->push_back(TurnAway{TurnAway::Why::no_seat, taken.key, Span(0)});
   keep({Record::What::gave_back, taken.key, terms_.own, taken.number, 0, Span(0), found->second.until});
   own_.erase(found);
 }
@@ -394,7 +394,7 @@
       case Own::State::asking:
         if (now_ - own.asked_at >= terms_.ask_limit) {
           // Whether it was given is not known: it is given back until the owner says that it heard.
-          acts_->push_back(TurnAway{TurnAway::Why::owner_silent, key, terms_.ask_limit});
+          actions_->push_back(TurnAway{TurnAway::Why::owner_silent, key, terms_.ask_limit});
           if (own.state == Own::State::keeping && own.ticket != 0) own.ticket = 0;
           give_back(key, own);
         } else if (own.state == Own::State::asking && now_ - own.sent_at >= terms_.ask_again) {
@@ -403,7 +403,7 @@
         break;
       case Own::State::held:
         if (own.held_until <= now_) {
-          acts_->push_back(EndPlayback{EndPlayback::Why::lapsed, key});
+          actions_->push_back(EndPlayback{EndPlayback::Why::lapsed, key});
           over.push_back(key);
         } else if (own.renewing && own.ticket == 0 && now_ - own.sent_at >= terms_.ask_again) {
           send(key, own);
--- a/src/entitlement/ledger/ledger.h
+++ b/src/entitlement/ledger/ledger.h
@@ -220,7 +220,7 @@
   std::map<std::string, Team> teams_;
   std::deque<Message> to_self_;
   std::deque<std::pair<std::uint64_t, SeatKey>> unkept_;  // whose records are on their way, by ticket
-  std::vector<LedgerAct>* acts_ = nullptr;
+  std::vector<LedgerAct>* actions_ = nullptr;
 };
 
 }  // namespace violettide::entitlement
--- a/src/manager/catalogue_door.cpp
+++ b/src/manager/catalogue_door.cpp
@@ -62,11 +62,11 @@
   control.busy = false;
   control.feed_after.reset();
   bells_.disarm(control.wait);
-  acts_->push_back(Send{
+  actions_->push_back(Send{
       link,
       http::head_text(reply.status, reply.fields, reply.body.size(), !control.close_after) + reply.body});
   if (!control.close_after) return;
-  acts_->push_back(Hang{link, true});
+  actions_->push_back(Close{link, true});
   controls_.erase(link);
 }
 
@@ -74,7 +74,7 @@
   const auto found = controls_.find(link);
   if (found == controls_.end()) return;
   bells_.disarm(found->second->wait);
-  acts_->push_back(Hang{link, false});
+  actions_->push_back(Close{link, false});
   controls_.erase(found);
 }
 
@@ -87,8 +87,8 @@
 
 // ---- what the keeper decides ----
 
-void Manager::keeper_did(std::vector<catalogue::KeeperAct> acts) {
-  for (auto& act : acts) {
+void Manager::keeper_did(std::vector<catalogue::KeeperAct> actions) {
+  for (auto& act : actions) {
     std::visit(
         Visit{
             [this](const catalogue::Answer& a) {
@@ -100,7 +100,7 @@
                 control_requests(*still->second);
             },
             [this](const catalogue::ToKeep& a) {
-              acts_->push_back(Keep{a.revision, cataloguewire::text_of(a.changes), a.whole});
+              actions_->push_back(Keep{a.revision, cataloguewire::text_of(a.changes), a.whole});
             },
             [this](const catalogue::Changed& a) {
               say("catalogue_changed", {{"revision", static_cast<std::int64_t>(keeper_.present()->revision)},
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -74,16 +74,16 @@
 }
 
 void Manager::say(std::string event, std::vector<Field> fields) {
-  acts_->push_back(Say{std::move(event), std::move(fields)});
+  actions_->push_back(Say{std::move(event), std::move(fields)});
 }
 
-void Manager::handle(Span now, const Happening& what, std::vector<Act>& acts) {
+void Manager::handle(Span now, const IoEvent& what, std::vector<Action>& actions) {
   if (began_ && now - now_ > stands_still) {
     still_until_ = now + catches_up;
     say_stood_still_ = now - now_;
   }
   now_ = std::max(now_, now);
-  acts_ = &acts;
+  actions_ = &actions;
   if (!began_) first_moment();
   if (const auto still = std::exchange(say_stood_still_, Span(0)); still > Span(0))
     say("stood_still", {{"ms", still.count() / 1000}});
@@ -98,7 +98,7 @@
   const auto next = bells_.next();
   if (next && (!wake_at_ || *wake_at_ <= now_ || *next < *wake_at_)) {
     wake_at_ = std::max(*next, now_ + std::chrono::milliseconds(1));
-    acts.push_back(WakeAt{*wake_at_});
+    actions.push_back(WakeAt{*wake_at_});
   }
 }
 
@@ -171,7 +171,7 @@
       return drop_viewer(bell.of, true);
     case Ring::stop:
       answer_all();
-      acts_->push_back(Leave{});
+      actions_->push_back(Leave{});
       return;
   }
 }
@@ -179,7 +179,7 @@
 // ---- viewers ----
 
 void Manager::on(const Accepted& what) {
-  if (peers_ && what.door == terms_.peer_door) return peers_->accepted(now_, what.link, *acts_);
+  if (peers_ && what.door == terms_.peer_door) return peers_->accepted(now_, what.link, *actions_);
   if (what.door != 0) {
     auto control = std::make_unique<Control>();
     control->link = what.link;
@@ -192,8 +192,8 @@
   }
   // Guards against more connections than this front has memory for; those it has keep what they hold.
   if (viewers_.size() >= terms_.viewer_links || stopping_) {
-    acts_->push_back(Send{what.link, http::head_text(503, come_back_soon(), 0, false)});
-    acts_->push_back(Hang{what.link, true});
+    actions_->push_back(Send{what.link, http::head_text(503, come_back_soon(), 0, false)});
+    actions_->push_back(Close{what.link, true});
     say("viewer_turned_away", {{"cause", std::string(stopping_ ? "stopping" : "connections")}});
     return;
   }
@@ -204,7 +204,7 @@
 }
 
 void Manager::on(const Received& what) {
-  if (peer_link(what.link)) return peers_said(peers_->received(what.link, what.bytes, *acts_));
+  if (peer_link(what.link)) return peers_said(peers_->received(what.link, what.bytes, *actions_));
   if (what.link >= first_accepted) {
     if (const auto control = controls_.find(what.link); control != controls_.end()) {
       control->second->reader.push(what.bytes);
@@ -216,7 +216,7 @@
     viewer.reader.push(what.bytes);
     if (viewer.busy && viewer.reader.unread() > most_pipelined && !viewer.reading_held) {
       viewer.reading_held = true;
-      acts_->push_back(Hold{what.link});
+      actions_->push_back(Hold{what.link});
     }
     return take_requests(viewer);
   }
@@ -427,7 +427,7 @@
   if (viewer.close_after) return drop_viewer(viewer.link, false);
   if (viewer.reading_held) {
     viewer.reading_held = false;
-    acts_->push_back(Resume{viewer.link});
+    actions_->push_back(Resume{viewer.link});
   }
   // What was pipelined behind it is read when all that this happening brought is done, so that a
   // playback is never taken apart while it is being served.
@@ -441,9 +441,9 @@
   const auto viewer = std::move(found->second);
   viewers_.erase(found);
   bells_.disarm(viewer->stuck);
-  acts_->push_back(Hang{link, !reset});
+  actions_->push_back(Close{link, !reset});
   viewer_gone(*viewer);
-  if (stopping_ && viewers_.empty()) acts_->push_back(Leave{});
+  if (stopping_ && viewers_.empty()) actions_->push_back(Leave{});
 }
 
 // The viewer's connection is no more; what it waited for is withdrawn, what it was sent is let go.
@@ -489,7 +489,7 @@
 
 void Manager::on(const HalfClosed& what) {
   if (peer_link(what.link)) {
-    acts_->push_back(Hang{what.link, false});
+    actions_->push_back(Close{what.link, false});
     return peers_->ended(now_, what.link);
   }
   if (what.link < first_accepted) return on(Ended{what.link, Ending::finished});
@@ -510,19 +510,19 @@
   const auto box = boxes_.find(viewer.box);
   if (box == boxes_.end() || !box->second->held) return;
   box->second->held = false;
-  acts_->push_back(Resume{viewer.box});
+  actions_->push_back(Resume{viewer.box});
 }
 
 void Manager::send_to_viewer(ViewerLink& viewer, std::string bytes) {
   viewer.unsent += bytes.size();
-  acts_->push_back(Send{viewer.link, std::move(bytes)});
+  actions_->push_back(Send{viewer.link, std::move(bytes)});
   if (viewer.unsent <= terms_.most_unsent) return;
   // Backpressure: the box is read no further until its viewer has read.
   const auto found = boxes_.find(viewer.box);
   if (found == boxes_.end() || found->second->held) return;
   auto& box = *found->second;
   box.held = box.held_since_measure = true;
-  acts_->push_back(Hold{box.link});
+  actions_->push_back(Hold{box.link});
   viewer.stuck =
       arm(stuck_abandons * terms_.plans[viewer.path.plan].abandon, Ring::viewer_stuck, viewer.link);
 }
@@ -684,7 +684,7 @@
   link.use = use;
   ++links_of_[server];
   boxes_.emplace(link.link, std::move(fresh));
-  acts_->push_back(Dial{link.link, box.address, box.port});
+  actions_->push_back(Dial{link.link, box.address, box.port});
   link.connect = arm(terms_.connect_limit, Ring::box_limit, link.link);
   return &link;
 }
@@ -696,7 +696,7 @@
   link.bytes = link.measured_bytes = 0;
   link.held_since_measure = false;
   if (link.connected)
-    acts_->push_back(Send{link.link, std::move(text)});
+    actions_->push_back(Send{link.link, std::move(text)});
   else
     link.waiting = std::move(text);
 }
@@ -707,7 +707,7 @@
   auto& link = *found->second;
   link.connected = true;
   bells_.disarm(link.connect);
-  acts_->push_back(Send{link.link, std::move(link.waiting)});
+  actions_->push_back(Send{link.link, std::move(link.waiting)});
   link.waiting.clear();
 }
 
@@ -1003,7 +1003,7 @@
     viewers_.erase(found);
     bells_.disarm(viewer->stuck);
     viewer_gone(*viewer);
-    if (stopping_ && viewers_.empty()) acts_->push_back(Leave{});
+    if (stopping_ && viewers_.empty()) actions_->push_back(Leave{});
     return;
   }
   const auto found = boxes_.find(what.link);
@@ -1102,7 +1102,7 @@
   link.use = Use::idle;
   if (link.held) {
     link.held = false;
-    acts_->push_back(Resume{link.link});
+    actions_->push_back(Resume{link.link});
   }
   idle_[link.server].push_back(link.link);
 }
@@ -1117,7 +1117,7 @@
     --links_of_[link.server];
     std::erase(idle_[link.server], id);
   }
-  acts_->push_back(Hang{id, false});
+  actions_->push_back(Close{id, false});
   boxes_.erase(found);
 }
 
@@ -1139,7 +1139,7 @@
   next_link_ = next_link_ + 1 < peer_links ? next_link_ + 1 : 1;
   link.use = use;
   boxes_.emplace(link.link, std::move(fresh));
-  acts_->push_back(Dial{link.link, address, port});
+  actions_->push_back(Dial{link.link, address, port});
   link.limit = arm(limit, Ring::box_limit, link.link);
   link.reader.expect(false);
   http::Fields fields{{"Host", address}, {"Via", "1.1 " + terms_.name}, {"Connection", "close"}};
@@ -1161,7 +1161,7 @@
   }
   auto news = list_.take(now_, body);
   // Only a list that is taken whole is one to begin with after a restart.
-  if (news.list && news.remark.empty()) acts_->push_back(Store{"boxes.json", body});
+  if (news.list && news.remark.empty()) actions_->push_back(Store{"boxes.json", body});
   if (!news.remark.empty()) list_etag_.clear();  // the next answer must come whole to be weighed again
   take_list(std::move(news), "service");
 }
@@ -1287,7 +1287,7 @@
   if (stopping_) return;
   stopping_ = true;
   say("stopping", {{"playbacks", static_cast<std::int64_t>(playbacks_.size())}});
-  acts_->push_back(Shut{0});
+  actions_->push_back(Shut{0});
   arm(terms_.stop_limit, Ring::stop, 0);
   std::vector<Link> idle;
   for (auto& [link, viewer] : viewers_) {
@@ -1298,7 +1298,7 @@
   }
   std::sort(idle.begin(), idle.end());
   for (const auto link : idle) drop_viewer(link, false);
-  if (viewers_.empty()) acts_->push_back(Leave{});
+  if (viewers_.empty()) actions_->push_back(Leave{});
 }
 
 }  // namespace violettide::manager
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -45,7 +45,7 @@
   // `cached_list`: the list kept from before, empty if there is none.
   Manager(FrontTerms terms, std::uint64_t seed, std::string cached_list, std::unique_ptr<Decider> decider);
   ~Manager() override;
-  void handle(Span now, const Happening& what, std::vector<Act>& acts) override;
+  void handle(Span now, const IoEvent& what, std::vector<Action>& actions) override;
   Held held() const;
   // The catalogue, to be restored before the first happening.
   catalogue::Keeper& catalogue() { return keeper_; }
@@ -194,7 +194,7 @@
   void control_requests(Control& control);
   void control_reply(Control& control, const cataloguewire::Reply& reply);
   void control_gone(Link link);
-  void keeper_did(std::vector<catalogue::KeeperAct> acts);
+  void keeper_did(std::vector<catalogue::KeeperAct> actions);
   void holders_changed(const std::vector<catalogue::RecordingId>& recordings, bool whole);
   void hold_anew(Playback& playback);
   void take_back(Playback& playback);
@@ -228,7 +228,7 @@
   Bells bells_;
   std::vector<Bell> rung_;
   Span now_{0};
-  std::vector<Act>* acts_ = nullptr;
+  std::vector<Action>* actions_ = nullptr;
   Span still_until_{0}, say_stood_still_{0};
   bool began_ = false, stopping_ = false;
   std::optional<Span> wake_at_;
--- a/src/manager/seats_door.cpp
+++ b/src/manager/seats_door.cpp
@@ -99,11 +99,11 @@
 }
 
 void Manager::seats_did(const entitlement::LedgerEvent& event) {
-  const auto acts = ledger_->handle(wall(), event);
+  const auto actions = ledger_->handle(wall(), event);
   // What one step keeps is kept together, and before anything that it lets go on.
   std::string bytes;
   std::uint64_t last = 0;
-  for (const auto& act : acts) {
+  for (const auto& act : actions) {
     if (const auto* record = std::get_if<entitlement::KeepRecord>(&act)) {
       const auto one = entitlement::bytes_of(record->record);
       for (int shift = 24; shift >= 0; shift -= 8) bytes += static_cast<char>(one.size() >> shift & 0xff);
@@ -111,8 +111,8 @@
       last = record->ticket;
     }
   }
-  if (last != 0) acts_->push_back(Keep{seat_tickets + last, std::move(bytes), false});
-  for (const auto& act : acts) do_seat(act);
+  if (last != 0) actions_->push_back(Keep{seat_tickets + last, std::move(bytes), false});
+  for (const auto& act : actions) do_seat(act);
 }
 
 void Manager::do_seat(const entitlement::LedgerAct& act) {
@@ -163,7 +163,8 @@
     settle(*playback, 409, lapsed ? "the token's time is up\n" : "this playback went to another manager\n",
            {});
   } else if (const auto* message = std::get_if<entitlement::Tell>(&act)) {
-    if (peers_) peers_->send(now_, message->to, seat_words, entitlement::bytes_of(message->message), *acts_);
+    if (peers_)
+      peers_->send(now_, message->to, seat_words, entitlement::bytes_of(message->message), *actions_);
   }
 }
 
@@ -191,7 +192,7 @@
 void Manager::seats_time() {
   arm(terms_.entitlement.every, Ring::seats, 0);
   if (peers_) {
-    peers_->time_passed(now_, *acts_);
+    peers_->time_passed(now_, *actions_);
     peers_said({});  // what it remarked meanwhile
   }
   if (!ledger_) return;
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -37,7 +37,8 @@
   return signing::hmac(terms_.key, std::string(challenge).append(body)).substr(0, mac_bytes);
 }
 
-void Peers::send(Span now, PeerIndex to, std::uint32_t kind, std::string payload, std::vector<Act>& acts) {
+void Peers::send(Span now, PeerIndex to, std::uint32_t kind, std::string payload,
+                 std::vector<Action>& actions) {
   if (to >= out_.size() || to == terms_.own) return;
   auto& out = out_[to];
   if (out.waiting.size() >= terms_.most_waiting) {
@@ -46,11 +47,11 @@
       remarks_.push_back("messages to " + terms_.all[to].name + " are dropped: too many wait");
   }
   out.waiting.emplace_back(kind, std::move(payload));
-  if (out.link == 0 && now >= out.dial_at) dial(now, to, acts);
-  flush(to, acts);
+  if (out.link == 0 && now >= out.dial_at) dial(now, to, actions);
+  flush(to, actions);
 }
 
-void Peers::dial(Span now, PeerIndex to, std::vector<Act>& acts) {
+void Peers::dial(Span now, PeerIndex to, std::vector<Action>& actions) {
   auto& out = out_[to];
   out.link = next_link_++;
   out.challenged = false;
@@ -60,10 +61,10 @@
   out.pause = out.pause == Span(0) ? terms_.dial_again : std::min(terms_.dial_longest, 2 * out.pause);
   out.dial_at = now + out.pause;
   dialed_[out.link] = to;
-  acts.push_back(Dial{out.link, terms_.all[to].address, terms_.all[to].port});
+  actions.push_back(Dial{out.link, terms_.all[to].address, terms_.all[to].port});
 }
 
-void Peers::flush(PeerIndex to, std::vector<Act>& acts) {
+void Peers::flush(PeerIndex to, std::vector<Action>& actions) {
   auto& out = out_[to];
   if (out.link == 0 || !out.challenged) return;
   while (!out.waiting.empty()) {
@@ -78,27 +79,27 @@
     wire::Frame frame;
     frame.set_body(body.SerializeAsString());
     frame.set_mac(mac(out.challenge, frame.body()));
-    acts.push_back(Send{out.link, framed(frame.SerializeAsString())});
+    actions.push_back(Send{out.link, framed(frame.SerializeAsString())});
   }
 }
 
-void Peers::accepted(Span now, Link link, std::vector<Act>& acts) {
+void Peers::accepted(Span now, Link link, std::vector<Action>& actions) {
   auto& in = came_[link];
   // Never the same twice, nor to be told before: by the key, the time and a count.
   in.challenge =
       signing::hmac(terms_.key, "challenge " + terms_.all[terms_.own].name + std::to_string(now.count()) +
                                     "." + std::to_string(link) + "." + std::to_string(++challenges_))
           .substr(0, challenge_bytes);
-  acts.push_back(Send{link, framed(in.challenge)});
+  actions.push_back(Send{link, framed(in.challenge)});
 }
 
-void Peers::refuse(Link link, const std::string& cause, std::vector<Act>& acts) {
+void Peers::refuse(Link link, const std::string& cause, std::vector<Action>& actions) {
   remarks_.push_back(cause);
-  acts.push_back(Hang{link, false});
+  actions.push_back(Close{link, false});
   came_.erase(link);
 }
 
-std::vector<Heard> Peers::received(Link link, std::string_view bytes, std::vector<Act>& acts) {
+std::vector<Heard> Peers::received(Link link, std::string_view bytes, std::vector<Action>& actions) {
   std::vector<Heard> heard;
   bool too_long = false;
   if (const auto dialed = dialed_.find(link); dialed != dialed_.end()) {
@@ -110,11 +111,11 @@
       out.challenged = true;
       out.pause = Span(0);
       out.told_full = false;
-      flush(dialed->second, acts);
+      flush(dialed->second, actions);
     } else if (too_long || out.challenged || frame) {
       // Nothing else is said on this side: who says it is no manager.
       remarks_.push_back("no challenge from " + terms_.all[dialed->second].name);
-      acts.push_back(Hang{link, false});
+      actions.push_back(Close{link, false});
       out.link = 0;
       dialed_.erase(dialed);
     }
@@ -129,28 +130,29 @@
     wire::Body body;
     const auto whom = in.from ? " from " + terms_.all[*in.from].name : std::string();
     if (!frame.ParseFromString(*bytes_of) || frame.mac().size() != mac_bytes)
-      return refuse(link, "no frame" + whom, acts), heard;
+      return refuse(link, "no frame" + whom, actions), heard;
     const auto own = mac(in.challenge, frame.body());
     if (!signing::same(own, frame.mac()))
-      return refuse(link, "a frame that is not signed with the hall's key" + whom, acts), heard;
-    if (!body.ParseFromString(frame.body())) return refuse(link, "no body" + whom, acts), heard;
+      return refuse(link, "a frame that is not signed with the hall's key" + whom, actions), heard;
+    if (!body.ParseFromString(frame.body())) return refuse(link, "no body" + whom, actions), heard;
     if (body.version() != version)
-      return refuse(link, "version " + std::to_string(body.version()) + " is not spoken here" + whom, acts),
+      return refuse(link, "version " + std::to_string(body.version()) + " is not spoken here" + whom,
+                    actions),
              heard;
     if (body.count() != in.count + 1 || body.to() != terms_.all[terms_.own].name)
-      return refuse(link, "a frame of another connection, or one is missing" + whom, acts), heard;
+      return refuse(link, "a frame of another connection, or one is missing" + whom, actions), heard;
     in.count = body.count();
     if (!in.from) {
       for (PeerIndex peer = 0; peer < terms_.all.size(); ++peer) {
         if (terms_.all[peer].name == body.from() && peer != terms_.own) in.from = peer;
       }
-      if (!in.from) return refuse(link, "no manager is named '" + body.from() + "'", acts), heard;
+      if (!in.from) return refuse(link, "no manager is named '" + body.from() + "'", actions), heard;
     } else if (terms_.all[*in.from].name != body.from()) {
-      return refuse(link, "two names on one connection", acts), heard;
+      return refuse(link, "two names on one connection", actions), heard;
     }
     heard.push_back({*in.from, body.kind(), std::move(*body.mutable_payload())});
   }
-  if (too_long) refuse(link, "a frame of more than " + std::to_string(terms_.most_frame) + " bytes", acts);
+  if (too_long) refuse(link, "a frame of more than " + std::to_string(terms_.most_frame) + " bytes", actions);
   return heard;
 }
 
@@ -165,9 +167,9 @@
   dialed_.erase(dialed);
 }
 
-void Peers::time_passed(Span now, std::vector<Act>& acts) {
+void Peers::time_passed(Span now, std::vector<Action>& actions) {
   for (PeerIndex to = 0; to < out_.size(); ++to) {
-    if (out_[to].link == 0 && !out_[to].waiting.empty() && now >= out_[to].dial_at) dial(now, to, acts);
+    if (out_[to].link == 0 && !out_[to].waiting.empty() && now >= out_[to].dial_at) dial(now, to, actions);
   }
 }
 
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -41,12 +41,12 @@
  public:
   // `links`: where the numbers of links that this dials begin; they rise from there.
   Peers(PeerTerms terms, Link links) : terms_(std::move(terms)), next_link_(links), out_(terms_.all.size()) {}
-  void send(Span now, PeerIndex to, std::uint32_t kind, std::string payload, std::vector<Act>& acts);
-  void accepted(Span now, Link link, std::vector<Act>& acts);
+  void send(Span now, PeerIndex to, std::uint32_t kind, std::string payload, std::vector<Action>& actions);
+  void accepted(Span now, Link link, std::vector<Action>& actions);
   bool knows(Link link) const { return dialed_.contains(link) || came_.contains(link); }
-  std::vector<Heard> received(Link link, std::string_view bytes, std::vector<Act>& acts);
+  std::vector<Heard> received(Link link, std::string_view bytes, std::vector<Action>& actions);
   void ended(Span now, Link link);
-  void time_passed(Span now, std::vector<Act>& acts);  // dials what is due
+  void time_passed(Span now, std::vector<Action>& actions);  // dials what is due
 
   // What was refused or dropped since the last call, and why.
   std::vector<std::string> take_remarks() { return std::exchange(remarks_, {}); }
@@ -67,9 +67,9 @@
     std::uint64_t count = 0;
   };
   std::string mac(std::string_view challenge, std::string_view body) const;
-  void flush(PeerIndex to, std::vector<Act>& acts);
-  void dial(Span now, PeerIndex to, std::vector<Act>& acts);
-  void refuse(Link link, const std::string& cause, std::vector<Act>& acts);
+  void flush(PeerIndex to, std::vector<Action>& actions);
+  void dial(Span now, PeerIndex to, std::vector<Action>& actions);
+  void refuse(Link link, const std::string& cause, std::vector<Action>& actions);
 
   PeerTerms terms_;
   Link next_link_;
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -86,9 +86,9 @@
   return {viewers_.size(), links_.size(), playbacks_.size(), titles_.size(), wheel_.armed()};
 }
 
-void Platform::handle(Span now, const Happening& what, std::vector<Act>& acts) {
+void Platform::handle(Span now, const IoEvent& what, std::vector<Action>& actions) {
   now_ = now;
-  acts_ = &acts;
+  actions_ = &actions;
   if (!std::exchange(begun_, true)) {
     channel_.connect_to(terms_.channel);
     take_lists(channel_.take_known(terms_.known), true);
@@ -104,7 +104,7 @@
   tend_channel();
   if (const auto next = wheel_.next(); next && *next != woken_for_) {
     woken_for_ = *next;
-    acts.push_back(WakeAt{*next});
+    actions.push_back(WakeAt{*next});
   }
 }
 
@@ -133,7 +133,7 @@
       const auto link = links_.find(static_cast<Link>(bell.of));
       if (link == links_.end() || link->second.up) return;
       drop_server_link(link->first, Outcome::no_connection);
-      acts_->push_back(Hang{static_cast<Link>(bell.of), false});
+      actions_->push_back(Close{static_cast<Link>(bell.of), false});
       return;
     }
     case Ring::probe:
@@ -229,15 +229,15 @@
   std::sort(all.begin(), all.end());
   for (const auto link : all) {
     viewer_gone(link);
-    acts_->push_back(Hang{link, true});
+    actions_->push_back(Close{link, true});
   }
-  acts_->push_back(Leave{stop_reads_in});
+  actions_->push_back(Leave{stop_reads_in});
 }
 
 // Guards against a try for a viewer who has gone, or to a server said to drain, in what is not read yet:
 // nothing is sent before all that has come is.
 void Platform::settle() {
-  if (!std::exchange(settle_asked_, true)) acts_->push_back(Settle{});
+  if (!std::exchange(settle_asked_, true)) actions_->push_back(Settle{});
 }
 
 void Platform::on(const Settled&) {
@@ -267,7 +267,7 @@
 
 void Platform::on(const Accepted& what) {
   if (viewers_.size() >= most_viewers() / 4 * 5) {
-    acts_->push_back(Hang{what.link, false});
+    actions_->push_back(Close{what.link, false});
     return;
   }
   accepted_ = true;
@@ -324,7 +324,7 @@
     }
     const bool spoke = found->second.spoke;
     viewer_gone(link);
-    acts_->push_back(Hang{link, spoke});  // in order, as its answer may be unread
+    actions_->push_back(Close{link, spoke});  // in order, as its answer may be unread
   }
   parting_ = std::move(kept);
   if (!parting_.empty()) arm(reading_time, Ring::part);
@@ -332,7 +332,7 @@
 
 void Platform::on(const Connected& what) {
   if (what.link == channel_link_) {
-    acts_->push_back(Send{what.link, channel_.connected(now_)});
+    actions_->push_back(Send{what.link, channel_.connected(now_)});
     return;
   }
   const auto found = links_.find(what.link);
@@ -393,11 +393,11 @@
   if (!unreadable || !links_.contains(what.link)) return;
   say("unreadable", {{"server", servers_[links_.at(what.link).server].name}, {"cause", *unreadable}});
   drop_server_link(what.link, Outcome::reset);
-  acts_->push_back(Hang{what.link, false});
+  actions_->push_back(Close{what.link, false});
 }
 
 void Platform::on(const HalfClosed& what) {
-  acts_->push_back(Hang{what.link, true});
+  actions_->push_back(Close{what.link, true});
   on(Ended{what.link, Ending::finished});
 }
 
@@ -436,14 +436,14 @@
   // Guards against a reader that reads nothing.
   if (found->second.unsent > most_unsent) {
     viewer_gone(link);
-    acts_->push_back(Hang{link, false});
+    actions_->push_back(Close{link, false});
     return;
   }
-  acts_->push_back(Send{link, std::move(line)});
+  actions_->push_back(Send{link, std::move(line)});
 }
 
 void Platform::viewer_says(Link link, ViewerLink& viewer, ViewerMessage& message) {
-  for (auto& line : std::exchange(untold_, {})) acts_->push_back(Send{link, std::move(line)});
+  for (auto& line : std::exchange(untold_, {})) actions_->push_back(Send{link, std::move(line)});
   switch (message.kind) {
     case ViewerMessage::Kind::offer:
       return take_offer(link, viewer, message);
@@ -472,7 +472,7 @@
   if (viewer == viewers_.end()) return;
   if (call && (!viewer->second.open.empty() || viewer->second.standing > 0)) return;
   viewer_gone(link);
-  acts_->push_back(Hang{link, true});
+  actions_->push_back(Close{link, true});
 }
 
 std::optional<std::string> Platform::read_offer(const ViewerMessage& message, Request& request,
@@ -629,7 +629,7 @@
   made.server = id;
   made.heard_at = made.used_at = now_;
   server.dialled = link;
-  acts_->push_back(Dial{link, server.place.address, server.place.port});
+  actions_->push_back(Dial{link, server.place.address, server.place.port});
   arm(terms_.dial_limit, Ring::dial, link);
   return link;
 }
@@ -669,7 +669,7 @@
 
 void Platform::to_server(Link link, std::string bytes) {
   if (const auto found = links_.find(link); found != links_.end()) found->second.used_at = now_;
-  acts_->push_back(Send{link, std::move(bytes)});
+  actions_->push_back(Send{link, std::move(bytes)});
 }
 
 void Platform::say_to(ServerId id, std::string bytes) {
@@ -719,7 +719,7 @@
 
 void Platform::end_server_link(Link number) {
   drop_server_link(number, Outcome::reset);
-  acts_->push_back(Hang{number, true});
+  actions_->push_back(Close{number, true});
 }
 
 void Platform::cut_all(ServerId id, const char* cause) {
@@ -1040,7 +1040,7 @@
     // Guards against a dial under way to the old address coming up as if it were the new process.
     for (const auto link : stale) {
       drop_server_link(link, Outcome::not_sent, Outcome::not_sent);
-      acts_->push_back(Hang{link, false});
+      actions_->push_back(Close{link, false});
     }
   }
   take_back_unsent();
@@ -1079,13 +1079,13 @@
     }
     if (wish == Channel::Wish::hang) {
       say("channel_given_up", {{"cause", channel_.remark()}});
-      acts_->push_back(Hang{channel_link_, false});
+      actions_->push_back(Close{channel_link_, false});
       channel_link_ = 0;
       channel_.ended(now_);
       continue;
     }
     channel_link_ = next_link_++;
-    acts_->push_back(Dial{channel_link_, channel_.place()->address, channel_.place()->port});
+    actions_->push_back(Dial{channel_link_, channel_.place()->address, channel_.place()->port});
     channel_.dialled(now_);
   }
 }
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -33,7 +33,7 @@
   // `decider`: the module, if none is given.
   Platform(StartTerms terms, std::unique_ptr<Decider> decider);
   ~Platform() override;
-  void handle(Span now, const Happening& what, std::vector<Act>& acts) override;
+  void handle(Span now, const IoEvent& what, std::vector<Action>& actions) override;
   Held held() const;
 
  private:
@@ -171,7 +171,7 @@
 
   Wheel<std::uint64_t>::Handle arm(Span in, Ring ring, std::uint64_t of = 0);
   void say(std::string event, std::vector<Field> fields) {
-    acts_->push_back(Say{std::move(event), std::move(fields)});
+    actions_->push_back(Say{std::move(event), std::move(fields)});
   }
   std::size_t most_viewers() const;
   std::size_t most_server_links() const;
@@ -180,7 +180,7 @@
 
   StartTerms terms_;
   std::unique_ptr<Decider> decider_;
-  std::vector<Act>* acts_ = nullptr;
+  std::vector<Action>* actions_ = nullptr;
   Span now_{0};
   bool begun_ = false;
   std::optional<Span> stop_asked_;
--- a/src/runtime/runtime.cpp
+++ b/src/runtime/runtime.cpp
@@ -122,7 +122,7 @@
     uv_connect_t connecting{};
     uv_timer_t linger{};
     bool lingers = false;
-    std::string out;  // gathered while acts are done
+    std::string out;  // gathered while actions are done
     bool touched = false, reading = false, hung = false, writing = false, connected = false;
     bool shut_after = false, all_sent = false, peer_done = false;
     int closing_handles = 0;
@@ -142,26 +142,26 @@
     return static_cast<Inside*>(handle->data);
   }
 
-  void deliver(const Happening& what) {
+  void deliver(const IoEvent& what) {
     if (leaving_) return;  // the core is done
-    std::vector<Act> acts;
-    core_.handle(now(), what, acts);
-    perform(acts);
+    std::vector<Action> actions;
+    core_.handle(now(), what, actions);
+    perform(actions);
     while (!flushed_.empty() || !unkept_.empty()) {
       while (!unkept_.empty()) {
         const auto ticket = unkept_.front();
         unkept_.pop_front();
-        acts.clear();
-        core_.handle(now(), KeepDone{ticket, ""}, acts);
-        perform(acts);
+        actions.clear();
+        core_.handle(now(), KeepDone{ticket, ""}, actions);
+        perform(actions);
       }
       std::vector<Link> ready;
       ready.swap(flushed_);
       for (const auto link : ready) {
         if (!links_.contains(link)) continue;
-        acts.clear();
-        core_.handle(now(), Flushed{link}, acts);
-        perform(acts);
+        actions.clear();
+        core_.handle(now(), Flushed{link}, actions);
+        perform(actions);
       }
     }
   }
@@ -188,9 +188,9 @@
       said_(now(), Say{"reread_failed", {{"file", reread_}, {"cause", std::string(std::strerror(errno))}}});
   }
 
-  void perform(std::vector<Act>& acts) {
+  void perform(std::vector<Action>& actions) {
     std::vector<Link> touched;
-    for (auto& act : acts) {
+    for (auto& act : actions) {
       std::visit(Visit{
                      [&](Dial& a) { dial(a); },
                      [&](Send& a) {
@@ -202,7 +202,7 @@
                          to->out += a.bytes;
                        if (!std::exchange(to->touched, true)) touched.push_back(a.link);
                      },
-                     [&](Hang& a) { hang(a); },
+                     [&](Close& a) { hang(a); },
                      [&](Hold& a) {
                        auto* from = find(a.link);
                        if (from && from->reading) uv_read_stop(stream(*from)), from->reading = false;
@@ -372,7 +372,7 @@
     if (code) delete writing;
   }
 
-  void hang(const Hang& what) {
+  void hang(const Close& what) {
     auto* c = find(what.link);
     if (!c || c->hung) return;
     if (what.after_sending && c->connected) {
--- a/src/seams/seams.h
+++ b/src/seams/seams.h
@@ -39,7 +39,7 @@
 struct Ended {
   Link link;
   Ending how;
-};  // never after the core's own Hang
+};  // never after the core's own Close
 struct Flushed {
   Link link;
 };                 // all that was sent has left for the kernel
@@ -53,8 +53,8 @@
   std::string text;
 };                  // the file to read again, as it is now
 struct Settled {};  // of Settle: all that had come to this machine by then has been told
-using Happening = std::variant<Accepted, Connected, Received, HalfClosed, Ended, Flushed, KeepDone, Woken,
-                               StopAsked, Reread, Settled>;
+using IoEvent = std::variant<Accepted, Connected, Received, HalfClosed, Ended, Flushed, KeepDone, Woken,
+                             StopAsked, Reread, Settled>;
 
 struct Dial {
   Link link;
@@ -65,7 +65,7 @@
   Link link;
   std::string bytes;
 };
-struct Hang {
+struct Close {
   Link link;
   bool after_sending;
 };  // not after sending: unsent bytes are lost, the peer reset
@@ -106,13 +106,14 @@
 struct Leave {  // the core is done; end the loop, once its last answers have been taken
   Span within{10'000'000};
 };
-using Act = std::variant<Dial, Send, Hang, Hold, Resume, WakeAt, Open, Shut, Store, Keep, Say, Settle, Leave>;
+using Action =
+    std::variant<Dial, Send, Close, Hold, Resume, WakeAt, Open, Shut, Store, Keep, Say, Settle, Leave>;
 
 class Core {
  public:
   virtual ~Core() = default;
   // `now` never goes back. Appends what is to be done, in order.
-  virtual void handle(Span now, const Happening& what, std::vector<Act>& acts) = 0;
+  virtual void handle(Span now, const IoEvent& what, std::vector<Action>& actions) = 0;
 };
 
 template <typename... Visitors>
--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -55,7 +55,7 @@
   sink_(record);
 }
 
-void Fleet::handle(Span now, const Happening& what, std::vector<Act>& acts) {
+void Fleet::handle(Span now, const IoEvent& what, std::vector<Action>& actions) {
   const bool first = list_history_.empty();
   now_ = std::max(now_, now);
   if (first) {
@@ -64,7 +64,7 @@
     begin_catalogue();
     list_history_.front().visible_at = -std::chrono::hours(1);
     for (int i = 0; i < static_cast<int>(boxes_.size()); ++i) put(trace::Passed::UP, i, nullptr, 1);
-    acts.push_back(WakeAt{now_ + step_every});
+    actions.push_back(WakeAt{now_ + step_every});
   }
   std::visit(Visit{
                  [&](const Accepted& a) {
@@ -75,14 +75,14 @@
                    const auto found = peers_.find(r.link);
                    if (found == peers_.end()) return;
                    found->second.reader.push(r.bytes);
-                   if (!found->second.busy) requests(r.link, found->second, acts);
+                   if (!found->second.busy) requests(r.link, found->second, actions);
                  },
                  [&](const HalfClosed& h) {
                    const auto found = peers_.find(h.link);
                    if (found == peers_.end()) return;
                    if (found->second.set_up)
                      put(trace::Passed::TRY_ENDED, found->second.door, &found->second, 0);
-                   acts.push_back(Hang{h.link, false});
+                   actions.push_back(Close{h.link, false});
                    peers_.erase(found);
                  },
                  [&](const Ended& e) {
@@ -95,16 +95,16 @@
                  [&](const Woken&) {},
                  [&](const StopAsked&) {
                    stopping_ = true;
-                   acts.push_back(Leave{});
+                   actions.push_back(Leave{});
                  },
                  [&](const auto&) {},
              },
              what);
   if (now_ - stepped_ >= step_every) {
-    live_through_troubles(acts);
-    move_recordings(seconds(now_ - stepped_), acts);
-    step(acts);
-    acts.push_back(WakeAt{now_ + step_every});
+    live_through_troubles(actions);
+    move_recordings(seconds(now_ - stepped_), actions);
+    step(actions);
+    actions.push_back(WakeAt{now_ + step_every});
   }
 }
 
@@ -120,7 +120,7 @@
   return nullptr;
 }
 
-void Fleet::live_through_troubles(std::vector<Act>& acts) {
+void Fleet::live_through_troubles(std::vector<Action>& actions) {
   for (std::size_t t = 0; t < day_.troubles.size(); ++t) {
     const auto& trouble = day_.troubles[t];
     const Span since = day_now() - trouble.at;
@@ -132,57 +132,57 @@
         if (begins) boxes_[box].drained = true, begun_.insert({t, box}), record_list();
         if (since >= std::chrono::duration<double>(trouble.size) && begun_.contains({t, box}) &&
             boxes_[box].drained && boxes_[box].up && !ends && since < trouble.lasts)
-          go_down(box, acts, false);
-        if (ends) ended_.insert({t, box}), come_up(box, acts);
+          go_down(box, actions, false);
+        if (ends) ended_.insert({t, box}), come_up(box, actions);
       } else if (trouble.ill == Ill::crash || trouble.ill == Ill::vanish || trouble.ill == Ill::ageing) {
         const bool dies =
             trouble.ill == Ill::ageing ? since >= trouble.lasts / 2 && !boxes_[box].ageing_died : begins;
         if (begins) begun_.insert({t, box});
         if (dies && !ends && boxes_[box].up) {
           boxes_[box].ageing_died = trouble.ill == Ill::ageing;
-          go_down(box, acts, trouble.ill == Ill::vanish);
+          go_down(box, actions, trouble.ill == Ill::vanish);
         }
-        if (ends) ended_.insert({t, box}), come_up(box, acts);
+        if (ends) ended_.insert({t, box}), come_up(box, actions);
       }
     }
   }
 }
 
-void Fleet::break_off(int number, std::vector<Act>& acts) {
+void Fleet::break_off(int number, std::vector<Action>& actions) {
   for (auto it = peers_.begin(); it != peers_.end();) {
     if (it->second.door != number) {
       ++it;
       continue;
     }
     if (it->second.set_up) put(trace::Passed::TRY_ENDED, number, &it->second, -1);
-    acts.push_back(Hang{it->first, false});
+    actions.push_back(Close{it->first, false});
     it = peers_.erase(it);
   }
 }
 
-void Fleet::go_down(int number, std::vector<Act>& acts, bool silent) {
+void Fleet::go_down(int number, std::vector<Action>& actions, bool silent) {
   auto& box = boxes_[number];
   box.up = false;
   box.sessions.clear();
   put(trace::Passed::DOWN, number, nullptr);
   record_list();
   if (silent) return;  // a machine that vanished neither refuses nor resets
-  acts.push_back(Shut{number});
-  break_off(number, acts);
+  actions.push_back(Shut{number});
+  break_off(number, actions);
 }
 
-void Fleet::come_up(int number, std::vector<Act>& acts) {
+void Fleet::come_up(int number, std::vector<Action>& actions) {
   auto& box = boxes_[number];
   box.drained = box.ageing_died = false;
   if (box.up) return record_list();
-  break_off(number, acts);
+  break_off(number, actions);
   box.up = true;
   box.cold = true;
   box.started = day_now();
   ++box.incarnation;
   box.set_ups.clear();
   box.told_at = -10s;
-  acts.push_back(Open{number});
+  actions.push_back(Open{number});
   put(trace::Passed::UP, number, nullptr);
   record_list();
 }
@@ -270,11 +270,11 @@
 
 // ---- requests ----
 
-void Fleet::requests(Link link, Peer& peer, std::vector<Act>& acts) {
+void Fleet::requests(Link link, Peer& peer, std::vector<Action>& actions) {
   while (!peer.busy) {
     auto request = peer.reader.next();
     if (!request) {
-      if (peer.reader.fault()) acts.push_back(Hang{link, false});
+      if (peer.reader.fault()) actions.push_back(Close{link, false});
       return;
     }
     peer.close_after = !request->keep_alive;
@@ -284,30 +284,30 @@
     if (issuer_ && peer.door == static_cast<int>(boxes_.size()) + (catalogue_ ? 2 : 1)) {
       issuer_->turn_to(static_cast<int>(std::max(Span(0), day_now()) / day_.issuer.rotate));
       if (ill_with(-1, Ill::issuer_down))
-        answer(link, peer, 503, {}, "", acts);
+        answer(link, peer, 503, {}, "", actions);
       else
-        answer(link, peer, 200, {{"Content-Type", "application/jwk-set+json"}}, issuer_->key_set(), acts);
+        answer(link, peer, 200, {{"Content-Type", "application/jwk-set+json"}}, issuer_->key_set(), actions);
       if (!peers_.contains(link)) return;
     } else if (peer.door > static_cast<int>(boxes_.size())) {
-      serve_feed(link, peer, *request, acts);
+      serve_feed(link, peer, *request, actions);
       if (!peers_.contains(link)) return;
     } else if (peer.door == static_cast<int>(boxes_.size())) {
-      serve_list(link, peer, *request, acts);
+      serve_list(link, peer, *request, actions);
       if (!peers_.contains(link)) return;
     } else {
-      serve_box(link, peer, *request, acts);
+      serve_box(link, peer, *request, actions);
       if (!peers_.contains(link)) return;
     }
   }
 }
 
 void Fleet::answer(Link link, Peer& peer, int status, http::Fields fields, const std::string& body,
-                   std::vector<Act>& acts) {
-  acts.push_back(Send{link, http::head_text(status, fields, body.size(), !peer.close_after) + body});
-  if (peer.close_after) acts.push_back(Hang{link, true}), peers_.erase(link);
+                   std::vector<Action>& actions) {
+  actions.push_back(Send{link, http::head_text(status, fields, body.size(), !peer.close_after) + body});
+  if (peer.close_after) actions.push_back(Close{link, true}), peers_.erase(link);
 }
 
-void Fleet::serve_box(Link link, Peer& peer, const http::Request& request, std::vector<Act>& acts) {
+void Fleet::serve_box(Link link, Peer& peer, const http::Request& request, std::vector<Action>& actions) {
   const int number = peer.door;
   auto& box = boxes_[number];
   peer.set_up = false;
@@ -317,7 +317,7 @@
   }
   if (request.method == "HEAD") {
     put(trace::Passed::PROBED, number, &peer);
-    acts.push_back(Send{link, http::head_text(200, {{"CMSD-Dynamic", cmsd_of(number)}}, 0, true)});
+    actions.push_back(Send{link, http::head_text(200, {{"CMSD-Dynamic", cmsd_of(number)}}, 0, true)});
     return;
   }
   peer.hls = day_.deployment.hls ? read_hls_path(day_, request.target) : std::nullopt;
@@ -326,7 +326,7 @@
   const auto path = manager::read_path(day_.deployment.front, request.target);
   const auto* media = peer.hls ? &as_hls : std::get_if<manager::MediaPath>(&path);
   if (!media || media->rung >= static_cast<int>(day_.deployment.front.site.rung_kb.size()))
-    return answer(link, peer, 404, {}, "", acts);
+    return answer(link, peer, 404, {}, "", actions);
   peer.packs = gzip::accepted(http::joined(request.fields, "Accept-Encoding"));
   const auto hints = hints::read_cmcd(request.fields, request.target).hints;
   const auto* trace = http::find(request.fields, "traceparent");
@@ -342,14 +342,14 @@
   // audited.
   if (!catalogue_ && !holds(day_, day_.boxes[number], media->title)) {
     if (std::exchange(peer.set_up, false)) put(trace::Passed::TRY_ENDED, number, &peer, 404);
-    return answer(link, peer, 404, {{"CMSD-Dynamic", cmsd_of(number)}}, "", acts);
+    return answer(link, peer, 404, {{"CMSD-Dynamic", cmsd_of(number)}}, "", actions);
   }
   peer.busy = true;
   peer.head_sent = false;
   peer.left = peer.credit = 0;
   if (peer.set_up && box.up && pushed_over(number)) {
     put(trace::Passed::FELL, number, &peer);
-    go_down(number, acts, false);  // this peer too is gone now
+    go_down(number, actions, false);  // this peer too is gone now
     return;
   }
   const bool full = peer.set_up &&
@@ -364,7 +364,7 @@
   peer.answer_at = now_ + Span(static_cast<std::int64_t>(time * 1e6));
 }
 
-void Fleet::begin_object(Link link, Peer& peer, std::vector<Act>& acts) {
+void Fleet::begin_object(Link link, Peer& peer, std::vector<Action>& actions) {
   const int number = peer.door;
   auto& box = boxes_[number];
   const auto& front = day_.deployment.front;
@@ -372,15 +372,15 @@
   if (std::exchange(peer.set_up, false)) put(trace::Passed::TRY_ENDED, number, &peer, peer.status);
   if (peer.status != 200) {
     peer.busy = false;
-    answer(link, peer, peer.status, {{"CMSD-Dynamic", cmsd_of(number)}, {"Retry-After", "1"}}, "", acts);
-    if (peers_.contains(link)) requests(link, peer, acts);
+    answer(link, peer, peer.status, {{"CMSD-Dynamic", cmsd_of(number)}, {"Retry-After", "1"}}, "", actions);
+    if (peers_.contains(link)) requests(link, peer, actions);
     return;
   }
   auto& session = box.sessions[peer.sid];
   if (peer.hls && peer.hls->names != HlsPath::Names::segment) {
     // A list says nothing of the rung that is played.
     session = {peer.plan, session.rung, now_};
-    return answer_list(link, peer, acts);
+    return answer_list(link, peer, actions);
   }
   session = {peer.plan, peer.rung, now_};
   if (peer.hls) {
@@ -389,8 +389,8 @@
     const auto ills = list_ills(peer.door);
     if (live && (number > newest_segment(day_, day_now()) || (ills.gaps && lacks(number)))) {
       peer.busy = false;
-      answer(link, peer, 404, {{"CMSD-Dynamic", cmsd_of(peer.door)}}, "", acts);
-      if (peers_.contains(link)) requests(link, peer, acts);
+      answer(link, peer, 404, {{"CMSD-Dynamic", cmsd_of(peer.door)}}, "", actions);
+      if (peers_.contains(link)) requests(link, peer, actions);
       return;
     }
   }
@@ -404,15 +404,15 @@
   fixed.object_duration = front.object_length.count() / 1000;
   fixed.object_type = "v";
   fixed.stream_type = "v";
-  acts.push_back(Send{link, http::head_text(200,
-                                            {{"Content-Type", "video/mp4"},
-                                             {"CMSD-Static", hints::cmsd_static(fixed)},
-                                             {"CMSD-Dynamic", cmsd_of(number)}},
-                                            size, !peer.close_after)});
+  actions.push_back(Send{link, http::head_text(200,
+                                               {{"Content-Type", "video/mp4"},
+                                                {"CMSD-Static", hints::cmsd_static(fixed)},
+                                                {"CMSD-Dynamic", cmsd_of(number)}},
+                                               size, !peer.close_after)});
   if (peer.hls) {
     const auto stamp = stamp_of(*peer.hls).substr(0, size);
     peer.left -= static_cast<double>(stamp.size());
-    acts.push_back(Send{link, stamp});
+    actions.push_back(Send{link, stamp});
   }
 }
 
@@ -424,7 +424,7 @@
   return ills;
 }
 
-void Fleet::answer_list(Link link, Peer& peer, std::vector<Act>& acts) {
+void Fleet::answer_list(Link link, Peer& peer, std::vector<Action>& actions) {
   const auto ills = list_ills(peer.door);
   auto text = peer.hls->names == HlsPath::Names::lists ? lists_of(day_, *peer.hls, ills)
                                                        : media_of(day_, *peer.hls, day_now(), ills);
@@ -435,12 +435,12 @@
     fields.emplace_back("Content-Encoding", "gzip");
   }
   peer.busy = false;
-  answer(link, peer, 200, std::move(fields), text, acts);
-  if (peers_.contains(link)) requests(link, peer, acts);
+  answer(link, peer, 200, std::move(fields), text, actions);
+  if (peers_.contains(link)) requests(link, peer, actions);
 }
 
 // Time goes by: answers that are due, and bytes as far as links and uplinks give them.
-void Fleet::step(std::vector<Act>& acts) {
+void Fleet::step(std::vector<Action>& actions) {
   const double passed = seconds(now_ - stepped_);
   stepped_ = now_;
   std::vector<Link> due;
@@ -450,7 +450,8 @@
     due.push_back(link);
   }
   for (const auto link : due) {
-    if (const auto found = peers_.find(link); found != peers_.end()) begin_object(link, found->second, acts);
+    if (const auto found = peers_.find(link); found != peers_.end())
+      begin_object(link, found->second, actions);
   }
   std::vector<double> asked(boxes_.size(), 0);
   for (const auto& [link, peer] : peers_) {
@@ -473,7 +474,7 @@
     peer.credit += peer.rate * share[peer.door] * passed;
     const auto bytes =
         static_cast<std::size_t>(std::min({peer.credit, peer.left, static_cast<double>(blank.size())}));
-    if (bytes > 0) acts.push_back(Send{link, blank.substr(0, bytes)});
+    if (bytes > 0) actions.push_back(Send{link, blank.substr(0, bytes)});
     peer.credit -= static_cast<double>(bytes);
     peer.left -= static_cast<double>(bytes);
     if (auto& sessions = boxes_[peer.door].sessions; sessions.contains(peer.sid))
@@ -485,10 +486,10 @@
     if (found == peers_.end()) continue;
     found->second.busy = false;
     if (found->second.close_after) {
-      acts.push_back(Hang{link, true});
+      actions.push_back(Close{link, true});
       peers_.erase(found);
     } else {
-      requests(link, found->second, acts);
+      requests(link, found->second, actions);
     }
   }
   // A session that asks for nothing for some objects' time has ended.
@@ -519,19 +520,19 @@
   list_history_.push_back(std::move(state));
 }
 
-void Fleet::serve_list(Link link, Peer& peer, const http::Request& request, std::vector<Act>& acts) {
+void Fleet::serve_list(Link link, Peer& peer, const http::Request& request, std::vector<Action>& actions) {
   if (ill_with(-1, Ill::list_down)) {
     peer.busy = true;
     return;
   }
-  if (request.target != "/boxes") return answer(link, peer, 404, {}, "", acts);
+  if (request.target != "/boxes") return answer(link, peer, 404, {}, "", actions);
   const ListState* seen = &list_history_.front();
   for (const auto& state : list_history_) {
     if (state.visible_at <= day_now()) seen = &state;
   }
   const auto etag = "\"" + std::to_string(seen->revision) + "\"";
   const auto* known = http::find(request.fields, "If-None-Match");
-  if (known && *known == etag) return answer(link, peer, 304, {{"ETag", etag}}, "", acts);
+  if (known && *known == etag) return answer(link, peer, 304, {{"ETag", etag}}, "", actions);
   nlohmann::json list{{"revision", seen->revision}, {"clock_ms", 10'000'000 + day_now().count() / 1000}};
   auto& boxes = list["boxes"] = nlohmann::json::array();
   for (std::size_t i = 0; i < boxes_.size(); ++i) {
@@ -557,7 +558,7 @@
     record.set_number(static_cast<std::uint64_t>(seen->incarnations[i]));
     sink_(record);
   }
-  answer(link, peer, 200, {{"Content-Type", "application/json"}, {"ETag", etag}}, list.dump(), acts);
+  answer(link, peer, 200, {{"Content-Type", "application/json"}, {"ETag", etag}}, list.dump(), actions);
 }
 
 // ---- the catalogue's origin ----
@@ -588,7 +589,7 @@
   catalogue_->handle(catalogue::Kept{1, std::nullopt});
 }
 
-void Fleet::move_recordings(double passed, std::vector<Act>& acts) {
+void Fleet::move_recordings(double passed, std::vector<Action>& actions) {
   if (!catalogue_) return;
   if (const auto* trouble = ill_with(-1, Ill::catalogue_moves)) moves_due_ += passed * trouble->size;
   for (; moves_due_ >= 1; moves_due_ -= 1) {
@@ -609,11 +610,11 @@
   }
   for (const auto link : waiting) {
     auto& peer = peers_.at(link);
-    if (feed_now(link, peer, acts) || now_ < peer.feed_until) continue;
+    if (feed_now(link, peer, actions) || now_ < peer.feed_until) continue;
     const auto reply = cataloguewire::empty_feed(catalogue_->present()->revision);
     peer.busy = false;
     peer.feed_after.reset();
-    answer(link, peer, reply.status, reply.fields, reply.body, acts);
+    answer(link, peer, reply.status, reply.fields, reply.body, actions);
   }
 }
 
@@ -629,15 +630,15 @@
   sink_(record);
 }
 
-void Fleet::serve_feed(Link link, Peer& peer, const http::Request& request, std::vector<Act>& acts) {
+void Fleet::serve_feed(Link link, Peer& peer, const http::Request& request, std::vector<Action>& actions) {
   const bool broken = ill_with(-1, Ill::feed_broken);
   const auto how = broken ? chance_() % 5 : 5;
   if (how == 0) {  // breaks off
-    acts.push_back(Hang{link, false});
+    actions.push_back(Close{link, false});
     peers_.erase(link);
     return;
   }
-  if (how == 1) return answer(link, peer, 503, {}, "", acts);
+  if (how == 1) return answer(link, peer, 503, {}, "", actions);
   peer.feed_lies = how == 4;
   const auto meaning = cataloguewire::read_request(request, *catalogue_);
   if (const auto* wait = std::get_if<cataloguewire::FeedWait>(&meaning)) {
@@ -649,7 +650,7 @@
     // Leaves one out: a manager must notice, and goes by nothing of it.
     if (how == 3 && catalogue_->present()->revision > wait->after + 1)
       ++*peer.feed_after, peer.feed_lies = true;
-    feed_now(link, peer, acts);
+    feed_now(link, peer, actions);
     return;
   }
   const auto& reply = std::get<cataloguewire::Reply>(meaning);
@@ -662,10 +663,10 @@
     }
   }
   answer(link, peer, reply.status, reply.fields,
-         how == 4 ? reply.body.substr(0, reply.body.size() / 2) : reply.body, acts);
+         how == 4 ? reply.body.substr(0, reply.body.size() / 2) : reply.body, actions);
 }
 
-bool Fleet::feed_now(Link link, Peer& peer, std::vector<Act>& acts) {
+bool Fleet::feed_now(Link link, Peer& peer, std::vector<Action>& actions) {
   const auto reply = cataloguewire::feed_reply(*catalogue_, *peer.feed_after);
   if (!reply) return false;
   if (const auto batches = catalogue_->after(*peer.feed_after, 256)) {
@@ -680,7 +681,7 @@
   }
   peer.busy = false;
   peer.feed_after.reset();
-  answer(link, peer, reply->status, reply->fields, reply->body, acts);
+  answer(link, peer, reply->status, reply->fields, reply->body, actions);
   return true;
 }
 
--- a/src/standins/fleet.h
+++ b/src/standins/fleet.h
@@ -24,7 +24,7 @@
  public:
   // `ports`: of the boxes' doors, for the list. `to_day`: what turns this core's time into the day's.
   Fleet(Day day, std::vector<std::uint16_t> ports, Span to_day, Sink sink);
-  void handle(Span now, const Happening& what, std::vector<Act>& acts) override;
+  void handle(Span now, const IoEvent& what, std::vector<Action>& actions) override;
   void listen_at(std::vector<std::uint16_t> ports) { ports_ = std::move(ports); }
 
  private:
@@ -70,24 +70,24 @@
     std::vector<Span> started;
   };
 
-  void requests(Link link, Peer& peer, std::vector<Act>& acts);
-  void serve_box(Link link, Peer& peer, const http::Request& request, std::vector<Act>& acts);
-  void serve_list(Link link, Peer& peer, const http::Request& request, std::vector<Act>& acts);
+  void requests(Link link, Peer& peer, std::vector<Action>& actions);
+  void serve_box(Link link, Peer& peer, const http::Request& request, std::vector<Action>& actions);
+  void serve_list(Link link, Peer& peer, const http::Request& request, std::vector<Action>& actions);
   void begin_catalogue();
-  void move_recordings(double passed, std::vector<Act>& acts);
-  void serve_feed(Link link, Peer& peer, const http::Request& request, std::vector<Act>& acts);
-  bool feed_now(Link link, Peer& peer, std::vector<Act>& acts);
+  void move_recordings(double passed, std::vector<Action>& actions);
+  void serve_feed(Link link, Peer& peer, const http::Request& request, std::vector<Action>& actions);
+  bool feed_now(Link link, Peer& peer, std::vector<Action>& actions);
   void put_listed(const Peer& peer, const std::string& title, const std::string& box, bool listed);
   void answer(Link link, Peer& peer, int status, http::Fields fields, const std::string& body,
-              std::vector<Act>& acts);
-  void answer_list(Link link, Peer& peer, std::vector<Act>& acts);
+              std::vector<Action>& actions);
+  void answer_list(Link link, Peer& peer, std::vector<Action>& actions);
   ListIlls list_ills(int box) const;
-  void begin_object(Link link, Peer& peer, std::vector<Act>& acts);
-  void step(std::vector<Act>& acts);
-  void live_through_troubles(std::vector<Act>& acts);
-  void break_off(int box, std::vector<Act>& acts);
-  void go_down(int box, std::vector<Act>& acts, bool silent);
-  void come_up(int box, std::vector<Act>& acts);
+  void begin_object(Link link, Peer& peer, std::vector<Action>& actions);
+  void step(std::vector<Action>& actions);
+  void live_through_troubles(std::vector<Action>& actions);
+  void break_off(int box, std::vector<Action>& actions);
+  void go_down(int box, std::vector<Action>& actions, bool silent);
+  void come_up(int box, std::vector<Action>& actions);
   void record_list();
   const Trouble* ill_with(int box, Ill ill) const;
   double link_of(int box) const;
--- a/src/standins/viewers.cpp
+++ b/src/standins/viewers.cpp
@@ -84,7 +84,7 @@
   sink_(record);
 }
 
-void Viewers::handle(Span now, const Happening& what, std::vector<Act>& acts) {
+void Viewers::handle(Span now, const IoEvent& what, std::vector<Action>& actions) {
   now_ = std::max(now_, now);
   if (!began_) {
     began_ = true;
@@ -100,20 +100,21 @@
                    auto* viewer = of_link(c.link);
                    if (!viewer) return;
                    viewer->connected = true;
-                   acts.push_back(Send{c.link, viewer->request});
+                   actions.push_back(Send{c.link, viewer->request});
                  },
                  [&](const Received& r) {
-                   if (auto* viewer = of_link(r.link)) came_part(*viewer, viewer->reader.push(r.bytes), acts);
+                   if (auto* viewer = of_link(r.link))
+                     came_part(*viewer, viewer->reader.push(r.bytes), actions);
                  },
                  [&](const HalfClosed& h) {
-                   if (auto* viewer = of_link(h.link)) broke(*viewer, acts);
+                   if (auto* viewer = of_link(h.link)) broke(*viewer, actions);
                  },
                  [&](const Ended& e) {
-                   if (auto* viewer = of_link(e.link)) broke(*viewer, acts, e.how == Ending::refused);
+                   if (auto* viewer = of_link(e.link)) broke(*viewer, actions, e.how == Ending::refused);
                  },
                  [&](const StopAsked&) {
                    stopping_ = true;
-                   acts.push_back(Leave{});
+                   actions.push_back(Leave{});
                  },
                  [&](const auto&) {},
              },
@@ -124,7 +125,7 @@
     const auto bell = static_cast<Bell>(code >> 32);
     const auto number = static_cast<std::uint32_t>(code);
     if (bell == Bell::arrival) {
-      arrive(acts, number == 1);
+      arrive(actions, number == 1);
       continue;
     }
     const auto found = viewers_.find(number);
@@ -133,44 +134,44 @@
     if (bell == Bell::patience) {
       // Its time is up: nothing that comes now counts.
       put(trace::Passed::LEFT, viewer, 0, viewer.first ? "abandoned" : "stalled");
-      hang(viewer, acts);
+      hang(viewer, actions);
       if (draw() < day_.viewers.returns && !viewer.first)
-        rest(viewer, day_.viewers.rejoin, acts);
+        rest(viewer, day_.viewers.rejoin, actions);
       else
         viewer.state = State::over;
     } else if (bell == Bell::again) {
       if (viewer.hls && viewer.goes_on) {
-        next_hls(viewer, acts);
+        next_hls(viewer, actions);
       } else {
         viewer.first = true;
         begin_hls(viewer);
-        ask(viewer, acts);
+        ask(viewer, actions);
       }
     } else if (bell == Bell::next_object) {
       if (viewer.hls && !viewer.first) {
-        next_hls(viewer, acts);
+        next_hls(viewer, actions);
       } else {
         begin_hls(viewer);
-        ask(viewer, acts);
+        ask(viewer, actions);
       }
     }
     if (viewer.state == State::over) viewers_.erase(number);
   }
   std::erase_if(viewers_, [](const auto& entry) { return entry.second.state == State::over; });
-  if (const auto next = bells_.next()) acts.push_back(WakeAt{*next});
+  if (const auto next = bells_.next()) actions.push_back(WakeAt{*next});
 }
 
-void Viewers::arrive(std::vector<Act>& acts, bool crowd) {
+void Viewers::arrive(std::vector<Action>& actions, bool crowd) {
   if (day_now() >= day_.length || stopping_) {
     // What still plays when the day is long over is left; what is being set up is waited for.
     Span over = day_.length;
     for (const auto& plan : day_.deployment.front.plans) over = std::max(over, day_.length + plan.abandon);
     for (auto& [number, viewer] : viewers_) {
       if (day_now() > over && viewer.state != State::over && viewer.state != State::asking)
-        leave(viewer, acts, "the day is over");
+        leave(viewer, actions, "the day is over");
     }
     if (viewers_.empty() && !crowd)
-      acts.push_back(Leave{});
+      actions.push_back(Leave{});
     else if (!crowd)
       bells_.arm(now_ + 100ms, packed(static_cast<std::uint64_t>(Bell::arrival), 0));
     return;
@@ -216,7 +217,7 @@
   if (terms.hls > 0 && draw() < terms.hls) viewer.hls = std::make_unique<HlsPlayer>("", 0);
   begin_hls(viewer);
   auto& kept = viewers_.emplace(viewer.number, std::move(viewer)).first->second;
-  ask(kept, acts);
+  ask(kept, actions);
 }
 
 void Viewers::request_text(Viewer& viewer) {
@@ -281,7 +282,7 @@
     fields.emplace_back("Authorization", "Bearer " + viewer.token);
 }
 
-void Viewers::ask(Viewer& viewer, std::vector<Act>& acts) {
+void Viewers::ask(Viewer& viewer, std::vector<Action>& actions) {
   drain_buffer(viewer);
   if (viewer.first) {
     viewer.buffer_s = 0;
@@ -310,23 +311,23 @@
   viewer.state = viewer.first ? State::asking : State::fetching;
   viewer.reader.expect(false);
   if (viewer.link && viewer.connected) {
-    acts.push_back(Send{viewer.link, viewer.request});
+    actions.push_back(Send{viewer.link, viewer.request});
   } else if (!viewer.link) {
     viewer.link = next_link_++;
     by_link_[viewer.link] = viewer.number;
-    acts.push_back(Dial{viewer.link, "127.0.0.1", doors_[viewer.door].port});
+    actions.push_back(Dial{viewer.link, "127.0.0.1", doors_[viewer.door].port});
   }
   if (viewer.first) put(trace::Passed::ASKED, viewer);
   const Span patience = day_.deployment.front.plans[viewer.plan].abandon;
   arm(viewer, viewer.first ? patience : 3 * patience, Bell::patience);
 }
 
-void Viewers::came_part(Viewer& viewer, http::ResponseReader::Part part, std::vector<Act>& acts) {
+void Viewers::came_part(Viewer& viewer, http::ResponseReader::Part part, std::vector<Action>& actions) {
   if (part.fault) {
     // Bytes that no request asked for: a second answer, whatever they say.
     if (part.done || (viewer.state != State::asking && viewer.state != State::fetching))
       put(trace::Passed::ANSWERED, viewer, -1, "unasked bytes");
-    return broke(viewer, acts);
+    return broke(viewer, actions);
   }
   if (part.head) {
     viewer.status = part.head->status;
@@ -361,15 +362,16 @@
     viewer.body += part.body;
   if (!part.done) return;
   viewer.breaks = 0;
-  if (viewer.hls && viewer.status == 200) return hls_whole(viewer, acts);
-  if (viewer.hls && !viewer.first && hls_refused(viewer, acts)) return;
-  if (viewer.status == 200 || viewer.status == 206) return object_whole(viewer, acts);
+  if (viewer.hls && viewer.status == 200) return hls_whole(viewer, actions);
+  if (viewer.hls && !viewer.first && hls_refused(viewer, actions)) return;
+  if (viewer.status == 200 || viewer.status == 206) return object_whole(viewer, actions);
   const bool was_first = viewer.first;
   if (!was_first) put(trace::Passed::OBJECT, viewer, viewer.status);
   const bool comes_again = (viewer.status == 503 || !was_first) && draw() < day_.viewers.returns;
-  if (!comes_again) return leave(viewer, acts, "turned away");
+  if (!comes_again) return leave(viewer, actions, "turned away");
   rest(viewer,
-       viewer.retry_after > 0 ? span_of(viewer.retry_after * (1 + 0.5 * draw())) : day_.viewers.rejoin, acts);
+       viewer.retry_after > 0 ? span_of(viewer.retry_after * (1 + 0.5 * draw())) : day_.viewers.rejoin,
+       actions);
 }
 
 void Viewers::drain_buffer(Viewer& viewer) {
@@ -380,7 +382,7 @@
   viewer.buffer_s = std::max(0.0, viewer.buffer_s - passed);
 }
 
-void Viewers::object_whole(Viewer& viewer, std::vector<Act>& acts) {
+void Viewers::object_whole(Viewer& viewer, std::vector<Action>& actions) {
   drain_buffer(viewer);
   const double length = seconds(day_.deployment.front.object_length);
   viewer.throughput =
@@ -391,7 +393,7 @@
   viewer.left_to_watch -= day_.deployment.front.object_length;
   ++viewer.object;
   put(trace::Passed::OBJECT, viewer, viewer.status);
-  if (viewer.left_to_watch <= 0s) return leave(viewer, acts, "seen");
+  if (viewer.left_to_watch <= 0s) return leave(viewer, actions, "seen");
   const double room = (most_buffer_objects - 1) * length - viewer.buffer_s;
   viewer.state = State::idle;
   arm(viewer, room >= 0 ? 1ms : span_of(-room), Bell::next_object);
@@ -415,21 +417,21 @@
   for (const auto& what : viewer.hls->take_wrongs()) put(trace::Passed::UNSTEADY, viewer, 0, what);
 }
 
-void Viewers::next_hls(Viewer& viewer, std::vector<Act>& acts) {
+void Viewers::next_hls(Viewer& viewer, std::vector<Action>& actions) {
   drain_buffer(viewer);
   const double room = (most_buffer_objects - 1) * viewer.hls->segment_length();
   const auto next = viewer.hls->next(seconds(now_), viewer.buffer_s, room);
   tell_wrongs(viewer);
-  if (std::holds_alternative<std::monostate>(next)) return leave(viewer, acts, "played to its end");
+  if (std::holds_alternative<std::monostate>(next)) return leave(viewer, actions, "played to its end");
   if (const auto* wait = std::get_if<double>(&next)) {
     viewer.state = State::idle;
     return arm(viewer, std::max(Span(1ms), span_of(*wait)), Bell::next_object);
   }
   viewer.hls_ask = std::get<HlsPlayer::Ask>(next);
-  ask(viewer, acts);
+  ask(viewer, actions);
 }
 
-void Viewers::hls_whole(Viewer& viewer, std::vector<Act>& acts) {
+void Viewers::hls_whole(Viewer& viewer, std::vector<Action>& actions) {
   drain_buffer(viewer);
   viewer.first = false;
   viewer.ever_played = true;
@@ -446,40 +448,40 @@
     viewer.rung = viewer.hls->rung();
     ++viewer.object;
     put(trace::Passed::OBJECT, viewer, viewer.status);
-    if (viewer.left_to_watch <= 0s) return leave(viewer, acts, "seen");
+    if (viewer.left_to_watch <= 0s) return leave(viewer, actions, "seen");
   }
   viewer.state = State::idle;
   arm(viewer, 1ms, Bell::next_object);
 }
 
 // An address that is answered otherwise than with what it names.
-bool Viewers::hls_refused(Viewer& viewer, std::vector<Act>& acts) {
+bool Viewers::hls_refused(Viewer& viewer, std::vector<Action>& actions) {
   put(trace::Passed::OBJECT, viewer, viewer.status);
   const auto pause = viewer.retry_after > 0 ? span_of(viewer.retry_after * (1 + 0.5 * draw()))
                                             : span_of(seconds(day_.viewers.rejoin) * 0.25);
   if (viewer.status == 404 || viewer.status == 503) {
     if (viewer.status == 404) viewer.hls->refused(viewer.hls_ask);
     viewer.goes_on = true;
-    rest(viewer, pause, acts);
+    rest(viewer, pause, actions);
     return true;
   }
   // Over, or lost: it is opened anew, as its viewer would.
   viewer.goes_on = false;
-  rest(viewer, pause, acts);
+  rest(viewer, pause, actions);
   return true;
 }
 
-void Viewers::broke(Viewer& viewer, std::vector<Act>& acts, bool refused) {
+void Viewers::broke(Viewer& viewer, std::vector<Action>& actions, bool refused) {
   const bool under_way = viewer.state == State::asking || viewer.state == State::fetching;
   const bool unanswered = viewer.state == State::asking && !viewer.answered;
   if (unanswered) put(trace::Passed::ANSWERED, viewer, 0, refused ? "refused" : "");
-  hang(viewer, acts);
+  hang(viewer, actions);
   if (viewer.hls && !viewer.first) {
     // Its addresses are good for longer than a connection.
     viewer.hls->broke();
     viewer.goes_on = ++viewer.breaks < most_breaks;
     if (viewer.state == State::idle) return;
-    return rest(viewer, span_of(seconds(day_.viewers.rejoin) * (0.25 + 0.5 * draw())), acts);
+    return rest(viewer, span_of(seconds(day_.viewers.rejoin) * (0.25 + 0.5 * draw())), actions);
   }
   if (!under_way) {  // between objects: the next one is asked on a new connection, as a playback anew
     viewer.first = true;
@@ -491,11 +493,11 @@
     bells_.disarm(viewer.timer);
     return;
   }
-  rest(viewer, span_of(seconds(day_.viewers.rejoin) * (0.5 + draw())), acts);
+  rest(viewer, span_of(seconds(day_.viewers.rejoin) * (0.5 + draw())), actions);
 }
 
-void Viewers::rest(Viewer& viewer, Span pause, std::vector<Act>& acts) {
-  if (viewer.link) hang(viewer, acts);
+void Viewers::rest(Viewer& viewer, Span pause, std::vector<Action>& actions) {
+  if (viewer.link) hang(viewer, actions);
   if (now_ + pause >= viewer.came + viewer.watch || day_now() >= day_.length) {
     viewer.state = State::over;
     bells_.disarm(viewer.timer);
@@ -505,16 +507,16 @@
   arm(viewer, pause, Bell::again);
 }
 
-void Viewers::leave(Viewer& viewer, std::vector<Act>& acts, const char* cause) {
+void Viewers::leave(Viewer& viewer, std::vector<Action>& actions, const char* cause) {
   put(trace::Passed::LEFT, viewer, 0, cause);
-  hang(viewer, acts);
+  hang(viewer, actions);
   bells_.disarm(viewer.timer);
   viewer.state = State::over;
 }
 
-void Viewers::hang(Viewer& viewer, std::vector<Act>& acts) {
+void Viewers::hang(Viewer& viewer, std::vector<Action>& actions) {
   if (!viewer.link) return;
-  acts.push_back(Hang{viewer.link, false});
+  actions.push_back(Close{viewer.link, false});
   by_link_.erase(viewer.link);
   viewer.link = 0;
   viewer.connected = false;
--- a/src/standins/viewers.h
+++ b/src/standins/viewers.h
@@ -28,7 +28,7 @@
  public:
   Viewers(const Day& day, std::vector<Door> doors, Span to_day, std::uint64_t origin_us,
           std::function<void(const trace::Passed&)> sink);
-  void handle(Span now, const Happening& what, std::vector<Act>& acts) override;
+  void handle(Span now, const IoEvent& what, std::vector<Action>& actions) override;
   std::size_t asked() const { return asked_; }
   // Viewers show its tokens. `wall`: the machine's clock at this core's time 0.
   void licensed_by(Issuer issuer, Span wall) {
@@ -71,24 +71,24 @@
     Wheel<std::uint64_t>::Handle timer;
   };
   enum class Bell : std::uint64_t { arrival, patience, again, next_object };
-  void arrive(std::vector<Act>& acts, bool crowd);
-  void ask(Viewer& viewer, std::vector<Act>& acts);
+  void arrive(std::vector<Action>& actions, bool crowd);
+  void ask(Viewer& viewer, std::vector<Action>& actions);
   void request_text(Viewer& viewer);
   std::string team_of(const Viewer& viewer) const {
     return "team-" + std::to_string(viewer.number % static_cast<unsigned>(day_.issuer.teams));
   }
   void show_token(Viewer& viewer, http::Fields& fields);
   void begin_hls(Viewer& viewer);
-  void next_hls(Viewer& viewer, std::vector<Act>& acts);
-  void hls_whole(Viewer& viewer, std::vector<Act>& acts);
-  bool hls_refused(Viewer& viewer, std::vector<Act>& acts);
+  void next_hls(Viewer& viewer, std::vector<Action>& actions);
+  void hls_whole(Viewer& viewer, std::vector<Action>& actions);
+  bool hls_refused(Viewer& viewer, std::vector<Action>& actions);
   void tell_wrongs(Viewer& viewer);
-  void came_part(Viewer& viewer, http::ResponseReader::Part part, std::vector<Act>& acts);
-  void object_whole(Viewer& viewer, std::vector<Act>& acts);
-  void broke(Viewer& viewer, std::vector<Act>& acts, bool refused = false);
-  void rest(Viewer& viewer, Span pause, std::vector<Act>& acts);
-  void leave(Viewer& viewer, std::vector<Act>& acts, const char* cause);
-  void hang(Viewer& viewer, std::vector<Act>& acts);
+  void came_part(Viewer& viewer, http::ResponseReader::Part part, std::vector<Action>& actions);
+  void object_whole(Viewer& viewer, std::vector<Action>& actions);
+  void broke(Viewer& viewer, std::vector<Action>& actions, bool refused = false);
+  void rest(Viewer& viewer, Span pause, std::vector<Action>& actions);
+  void leave(Viewer& viewer, std::vector<Action>& actions, const char* cause);
+  void hang(Viewer& viewer, std::vector<Action>& actions);
   void drain_buffer(Viewer& viewer);
   void arm(Viewer& viewer, Span in, Bell bell);
   void put(trace::Passed::Kind kind, const Viewer& viewer, int status = 0, const std::string& cause = "");
--- a/tests/program/audit_test.cpp
+++ b/tests/program/audit_test.cpp
@@ -64,18 +64,18 @@
 // A manager whose bytes are tampered with on their way out.
 class Tampered : public Core {
  public:
-  Tampered(Core& inner, std::function<void(std::vector<Act>&)> tamper)
+  Tampered(Core& inner, std::function<void(std::vector<Action>&)> tamper)
       : inner_(inner), tamper_(std::move(tamper)) {}
-  void handle(Span now, const Happening& what, std::vector<Act>& acts) override {
-    std::vector<Act> made;
+  void handle(Span now, const IoEvent& what, std::vector<Action>& actions) override {
+    std::vector<Action> made;
     inner_.handle(now, what, made);
     if (tamper_) tamper_(made);
-    for (auto& act : made) acts.push_back(std::move(act));
+    for (auto& act : made) actions.push_back(std::move(act));
   }
 
  private:
   Core& inner_;
-  std::function<void(std::vector<Act>&)> tamper_;
+  std::function<void(std::vector<Action>&)> tamper_;
 };
 
 struct PlayedDay {
@@ -89,7 +89,7 @@
 };
 
 PlayedDay play(
-    const standins::Day& day, Bent::Bend bend = {}, std::function<void(std::vector<Act>&)> tamper = {},
+    const standins::Day& day, Bent::Bend bend = {}, std::function<void(std::vector<Action>&)> tamper = {},
     std::function<void(Net&, std::vector<int>&, const std::function<void(int)>&, std::vector<trace::Passed>&)>
         deeds = {}) {
   Net net;
@@ -245,8 +245,8 @@
 
 TEST(Planted, ASwallowedAnswerIsRule1) {
   int seen = 0;
-  const auto played = play(day_of(calm), {}, [&](std::vector<Act>& acts) {
-    std::erase_if(acts, [&](const Act& act) {
+  const auto played = play(day_of(calm), {}, [&](std::vector<Action>& actions) {
+    std::erase_if(actions, [&](const Action& act) {
       const auto* send = std::get_if<Send>(&act);
       return send && send->link >= first_accepted && send->bytes.starts_with("HTTP/1.1 200") &&
              ++seen % 40 == 0;
@@ -257,9 +257,9 @@
 
 TEST(Planted, ASecondAnswerIsRule1) {
   std::map<Link, int> heads;
-  const auto played = play(day_of(calm), {}, [&](std::vector<Act>& acts) {
-    std::vector<Act> doubled;
-    for (const auto& act : acts) {
+  const auto played = play(day_of(calm), {}, [&](std::vector<Action>& actions) {
+    std::vector<Action> doubled;
+    for (const auto& act : actions) {
       doubled.push_back(act);
       const auto* send = std::get_if<Send>(&act);
       if (!send || send->link < first_accepted) continue;
@@ -268,7 +268,7 @@
       else if (heads[send->link] == 1 && send->link % 5 == 0)
         doubled.push_back(act);
     }
-    acts = std::move(doubled);
+    actions = std::move(doubled);
   });
   EXPECT_GT(played.broken(1), 0) << audit::table(played.verdict);
 }
@@ -343,8 +343,8 @@
 
 TEST(Planted, ARungUnderTheFloorIsRule5) {
   int seen = 0;
-  const auto played = play(day_of(calm), {}, [&](std::vector<Act>& acts) {
-    for (auto& act : acts) {
+  const auto played = play(day_of(calm), {}, [&](std::vector<Action>& actions) {
+    for (auto& act : actions) {
       auto* send = std::get_if<Send>(&act);
       if (!send || !send->bytes.starts_with("GET /plain/")) continue;
       const auto rung = send->bytes.rfind("/r", send->bytes.find(".m4s"));
--- a/tests/program/catalogue_test.cpp
+++ b/tests/program/catalogue_test.cpp
@@ -138,9 +138,9 @@
 }
 
 template <typename Kind>
-std::vector<Kind> of(const std::vector<KeeperAct>& acts) {
+std::vector<Kind> of(const std::vector<KeeperAct>& actions) {
   std::vector<Kind> all;
-  for (const auto& act : acts) {
+  for (const auto& act : actions) {
     if (const auto* kind = std::get_if<Kind>(&act)) all.push_back(*kind);
   }
   return all;
@@ -148,16 +148,16 @@
 
 TEST(Keeper, AChangeIsAnsweredOnlyOnceItIsKept) {
   Keeper keeper({}, numbered(), 2);
-  auto acts = keeper.handle(Asked{7, std::nullopt, false, {PutRecording{recording("a", {"b0"})}}});
-  ASSERT_EQ(of<ToKeep>(acts).size(), 1u);
-  EXPECT_TRUE(of<Answer>(acts).empty());
+  auto actions = keeper.handle(Asked{7, std::nullopt, false, {PutRecording{recording("a", {"b0"})}}});
+  ASSERT_EQ(of<ToKeep>(actions).size(), 1u);
+  EXPECT_TRUE(of<Answer>(actions).empty());
   EXPECT_FALSE(keeper.present()->find("a")) << "not in force before it is on the disk";
-  acts = keeper.handle(Kept{1, std::nullopt});
-  EXPECT_EQ(of<Answer>(acts)[0].ticket, 7u);
+  actions = keeper.handle(Kept{1, std::nullopt});
+  EXPECT_EQ(of<Answer>(actions)[0].ticket, 7u);
   EXPECT_TRUE(keeper.present()->find("a"));
-  acts = keeper.handle(Asked{8, std::nullopt, false, {RemoveRecording{"a"}}});
-  acts = keeper.handle(Kept{2, "the disk is full"});
-  EXPECT_EQ(of<Answer>(acts)[0].how, Answered::not_kept);
+  actions = keeper.handle(Asked{8, std::nullopt, false, {RemoveRecording{"a"}}});
+  actions = keeper.handle(Kept{2, "the disk is full"});
+  EXPECT_EQ(of<Answer>(actions)[0].how, Answered::not_kept);
   EXPECT_TRUE(keeper.present()->find("a")) << "nothing of it is in force";
   EXPECT_EQ(keeper.present()->revision, 1u);
 }
@@ -166,11 +166,11 @@
   Keeper keeper({}, numbered(), 2);
   keeper.handle(Asked{1, 0, false, {PutRecording{recording("a", {"b0"})}}});
   keeper.handle(Asked{2, 0, false, {PutRecording{recording("a", {"b1"})}}});
-  const auto acts = keeper.handle(Kept{1, std::nullopt});
-  ASSERT_EQ(of<Answer>(acts).size(), 2u);
-  EXPECT_EQ(of<Answer>(acts)[0].how, Answered::taken);
-  EXPECT_EQ(of<Answer>(acts)[1].how, Answered::stale);
-  EXPECT_EQ(of<Answer>(acts)[1].revision, 1u);
+  const auto actions = keeper.handle(Kept{1, std::nullopt});
+  ASSERT_EQ(of<Answer>(actions).size(), 2u);
+  EXPECT_EQ(of<Answer>(actions)[0].how, Answered::taken);
+  EXPECT_EQ(of<Answer>(actions)[1].how, Answered::stale);
+  EXPECT_EQ(of<Answer>(actions)[1].revision, 1u);
   EXPECT_EQ(*keeper.present()->find("a")->holders, std::vector<ServerId>{0});
 }
 
@@ -187,22 +187,22 @@
   keeper.handle(Kept{1, std::nullopt});
   std::vector<Change> removal;
   for (int i = 0; i < 20; ++i) removal.push_back(RemoveRecording{"t" + std::to_string(i)});
-  auto acts = keeper.handle(Asked{2, std::nullopt, false, removal});
-  EXPECT_EQ(of<Answer>(acts)[0].how, Answered::held);
+  auto actions = keeper.handle(Asked{2, std::nullopt, false, removal});
+  EXPECT_EQ(of<Answer>(actions)[0].how, Answered::held);
   EXPECT_TRUE(keeper.present()->find("t0"));
-  acts = keeper.handle(Asked{3, std::nullopt, true, removal});
-  EXPECT_EQ(of<ToKeep>(acts).size(), 1u);
+  actions = keeper.handle(Asked{3, std::nullopt, true, removal});
+  EXPECT_EQ(of<ToKeep>(actions).size(), 1u);
   keeper.handle(Kept{2, std::nullopt});
   EXPECT_FALSE(keeper.present()->find("t0"));
   // A feed can't be asked: it confirms by saying the same again.
   std::vector<Change> rest;
   for (int i = 20; i < 40; ++i) rest.push_back(RemoveRecording{"t" + std::to_string(i)});
-  acts = keeper.handle(Fed{3, {rest}});
-  EXPECT_TRUE(of<ToKeep>(acts).empty());
-  ASSERT_EQ(of<AskFeed>(acts).size(), 1u);
-  EXPECT_FALSE(of<AskFeed>(acts)[0].cause.empty());
-  acts = keeper.handle(Fed{3, {rest}});
-  EXPECT_EQ(of<ToKeep>(acts).size(), 1u);
+  actions = keeper.handle(Fed{3, {rest}});
+  EXPECT_TRUE(of<ToKeep>(actions).empty());
+  ASSERT_EQ(of<AskFeed>(actions).size(), 1u);
+  EXPECT_FALSE(of<AskFeed>(actions)[0].cause.empty());
+  actions = keeper.handle(Fed{3, {rest}});
+  EXPECT_EQ(of<ToKeep>(actions).size(), 1u);
 }
 
 TEST(Keeper, ManyMovesAtOnceAreNoShrink) {
@@ -225,29 +225,29 @@
 
 TEST(Keeper, AFeedWithGapsRepeatsOrRuinsIsCaughtUpWhole) {
   Keeper keeper({}, numbered(), 2);
-  auto acts =
+  auto actions =
       keeper.handle(Fed{1, {{PutRecording{recording("a", {"b0"})}}, {PutRecording{recording("b", {"b0"})}}}});
-  EXPECT_EQ(of<ToKeep>(acts)[0].revision, 1u);
-  acts = keeper.handle(
+  EXPECT_EQ(of<ToKeep>(actions)[0].revision, 1u);
+  actions = keeper.handle(
       Fed{1, {{PutRecording{recording("a", {"b0"})}}}});  // again, while the first is being kept
   keeper.handle(Kept{1, std::nullopt});
   keeper.handle(Kept{2, std::nullopt});
   EXPECT_EQ(keeper.present()->revision, 2u);
-  acts = keeper.handle(Fed{4, {{RemoveRecording{"a"}}}});
-  ASSERT_EQ(of<AskFeed>(acts).size(), 1u);
-  EXPECT_TRUE(of<AskFeed>(acts)[0].whole) << "batch 3 is missing";
+  actions = keeper.handle(Fed{4, {{RemoveRecording{"a"}}}});
+  ASSERT_EQ(of<AskFeed>(actions).size(), 1u);
+  EXPECT_TRUE(of<AskFeed>(actions)[0].whole) << "batch 3 is missing";
   EXPECT_TRUE(keeper.present()->find("a"));
-  acts = keeper.handle(Fed{3, {{RemoveRecording{"never was"}}}});
-  EXPECT_TRUE(of<AskFeed>(acts)[0].whole) << "it does not fit what is held";
-  acts = keeper.handle(FedWhole{9, {recording("c", {"b1"})}});
-  ASSERT_EQ(of<ToKeep>(acts).size(), 1u);
-  EXPECT_TRUE(of<ToKeep>(acts)[0].whole);
-  acts = keeper.handle(Kept{9, std::nullopt});
+  actions = keeper.handle(Fed{3, {{RemoveRecording{"never was"}}}});
+  EXPECT_TRUE(of<AskFeed>(actions)[0].whole) << "it does not fit what is held";
+  actions = keeper.handle(FedWhole{9, {recording("c", {"b1"})}});
+  ASSERT_EQ(of<ToKeep>(actions).size(), 1u);
+  EXPECT_TRUE(of<ToKeep>(actions)[0].whole);
+  actions = keeper.handle(Kept{9, std::nullopt});
   EXPECT_EQ(keeper.present()->revision, 9u);
   EXPECT_FALSE(keeper.present()->find("a"));
   EXPECT_TRUE(keeper.present()->find("c"));
-  acts = keeper.handle(FedWhole{4, {recording("a", {"b1"})}});
-  EXPECT_TRUE(of<ToKeep>(acts).empty()) << "older than the one held";
+  actions = keeper.handle(FedWhole{4, {recording("a", {"b1"})}});
+  EXPECT_TRUE(of<ToKeep>(actions).empty()) << "older than the one held";
   EXPECT_FALSE(keeper.after(3, 10)) << "what came before a whole can't be told batch by batch";
 }
 
@@ -261,8 +261,8 @@
     Keeper origin(short_log, numbered(), 2), follower(short_log, numbered(), 2);
     std::optional<Revision> keeping = std::nullopt;
     bool whole = false;
-    const auto heed = [&](const std::vector<KeeperAct>& acts) {
-      for (const auto& act : acts) {
+    const auto heed = [&](const std::vector<KeeperAct>& actions) {
+      for (const auto& act : actions) {
         if (const auto* keep = std::get_if<ToKeep>(&act)) keeping = keep->revision;
         if (const auto* feed = std::get_if<AskFeed>(&act)) whole = whole || feed->whole;
       }
@@ -524,7 +524,7 @@
     front = std::make_unique<manager::Manager>(terms, 1, "", nullptr);
     net.add(*front, 2);
     for (int b = 0; b < 3; ++b) {
-      boxes[b].on_bytes = [this, b](Puppet& box, Link link, std::vector<Act>& acts) {
+      boxes[b].on_bytes = [this, b](Puppet& box, Link link, std::vector<Action>& actions) {
         auto& got = box.peers[link].got;
         const auto end = got.find("\r\n\r\n");
         if (end == std::string::npos) return;
@@ -539,11 +539,11 @@
                             std::to_string((net.now() - found->second).count()) + " us before");
         }
         got.clear();
-        acts.push_back(Send{link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"});
+        actions.push_back(Send{link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"});
       };
       net.add(boxes[b], 1);
     }
-    list.on_bytes = [this](Puppet&, Link link, std::vector<Act>& acts) {
+    list.on_bytes = [this](Puppet&, Link link, std::vector<Action>& actions) {
       std::string text =
           "{\"revision\":" + std::to_string(list_revision) + ",\"clock_ms\":100000,\"boxes\":[";
       for (int b = 0; b < 3; ++b) {
@@ -552,8 +552,8 @@
                 ",\"state\":\"" + states[b] + "\",\"kind\":0,\"cell\":0,\"hall\":\"h\",\"weight\":1}";
       }
       text += "]}";
-      acts.push_back(Send{link, http::head_text(200, {}, text.size(), false) + text});
-      acts.push_back(Hang{link, true});
+      actions.push_back(Send{link, http::head_text(200, {}, text.size(), false) + text});
+      actions.push_back(Close{link, true});
     };
     net.add(list, 1);
     net.add(viewer, 0);
--- a/tests/program/hls_front_test.cpp
+++ b/tests/program/hls_front_test.cpp
@@ -41,13 +41,13 @@
     net.add(box[1], 1);
     net.add(list, 1);
     net.add(viewer, 0);
-    list.on_bytes = [this](Puppet&, Link link, std::vector<Act>& acts) {
-      acts.push_back(Send{link, http::head_text(200, {}, boxes_json.size(), false) + boxes_json});
-      acts.push_back(Hang{link, true});
+    list.on_bytes = [this](Puppet&, Link link, std::vector<Action>& actions) {
+      actions.push_back(Send{link, http::head_text(200, {}, boxes_json.size(), false) + boxes_json});
+      actions.push_back(Close{link, true});
     };
     for (int b = 0; b < 2; ++b) {
-      box[b].on_bytes = [this, b](Puppet& own, Link link, std::vector<Act>& acts) {
-        serve(b, own, link, acts);
+      box[b].on_bytes = [this, b](Puppet& own, Link link, std::vector<Action>& actions) {
+        serve(b, own, link, actions);
       };
     }
     net.run(100ms);
@@ -72,7 +72,7 @@
   }
 
   // What the boxes have, by target; nothing: 404. A list of its own for each box where that is given.
-  void serve(int b, Puppet& own, Link link, std::vector<Act>& acts) {
+  void serve(int b, Puppet& own, Link link, std::vector<Action>& actions) {
     auto& got = own.peers[link].got;
     for (auto end = got.find("\r\n\r\n"); end != std::string::npos; end = got.find("\r\n\r\n")) {
       const auto head = got.substr(0, end);
@@ -81,19 +81,19 @@
       asked[b].push_back(target);
       heads[b].push_back(head);
       if (head.starts_with("HEAD")) {
-        acts.push_back(Send{link, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"});
+        actions.push_back(Send{link, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"});
         continue;
       }
       if (mute[b]) continue;
       const auto path = target.substr(0, target.find('?'));
       const auto found = has[b].count(path) ? has[b].find(path) : has[b].find(target);
       if (found == has[b].end()) {
-        acts.push_back(Send{link, "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"});
+        actions.push_back(Send{link, "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"});
       } else if (found->second.starts_with("HTTP/")) {
-        acts.push_back(Send{link, found->second});
+        actions.push_back(Send{link, found->second});
       } else {
-        acts.push_back(Send{link, "HTTP/1.1 200 OK\r\n" + more_fields + "Content-Length: " +
-                                      std::to_string(found->second.size()) + "\r\n\r\n" + found->second});
+        actions.push_back(Send{link, "HTTP/1.1 200 OK\r\n" + more_fields + "Content-Length: " +
+                                         std::to_string(found->second.size()) + "\r\n\r\n" + found->second});
       }
     }
   }
--- a/tests/program/manager_test.cpp
+++ b/tests/program/manager_test.cpp
@@ -41,9 +41,9 @@
     net.add(other_box, 1);
     net.add(list, 1);
     net.add(viewer, 0);
-    list.on_bytes = [this](Puppet&, Link link, std::vector<Act>& acts) {
-      acts.push_back(Send{link, http::head_text(200, {}, boxes_json.size(), false) + boxes_json});
-      acts.push_back(Hang{link, true});
+    list.on_bytes = [this](Puppet&, Link link, std::vector<Action>& actions) {
+      actions.push_back(Send{link, http::head_text(200, {}, boxes_json.size(), false) + boxes_json});
+      actions.push_back(Close{link, true});
     };
     net.run(100ms);
     told.clear();
@@ -236,7 +236,7 @@
     const auto at = got(link).find("Retry-After: ");
     ASSERT_NE(at, std::string::npos) << got(link);
     told_times.insert(got(link).substr(at + 13, 1));
-    viewer.next.push_back(Hang{link, false}), act(viewer_host);
+    viewer.next.push_back(Close{link, false}), act(viewer_host);
   }
   EXPECT_GE(told_times.size(), 2u) << "four seconds, a quarter off either way, in whole seconds";
 }
@@ -317,7 +317,7 @@
 TEST_F(Mishaps, AViewerGoneInMidSetUpTakesItsTryBack) {
   const auto link = dial();
   send(link, get("/a/t/r2/0"));
-  viewer.next.push_back(Hang{link, false});
+  viewer.next.push_back(Close{link, false});
   act(viewer_host);
   EXPECT_EQ(told_of<Withdrawn>().size(), 1u);
   ASSERT_EQ(told_of<TryEnded>().size(), 1u);
@@ -329,7 +329,7 @@
 TEST_F(Mishaps, AViewerThatOnlyWritesNoMoreIsNotWithdrawn) {
   const auto link = dial();
   viewer.next.push_back(Send{link, get("/a/t/r2/0")});
-  viewer.next.push_back(Hang{link, true});
+  viewer.next.push_back(Close{link, true});
   // The puppet's end is gone with it: what can be seen is that nothing is withdrawn and the box is asked.
   act(viewer_host);
   EXPECT_EQ(told_of<Withdrawn>().size(), 0u);
@@ -344,7 +344,7 @@
   EXPECT_EQ(told_of<Request>().size(), 1u);
   EXPECT_EQ(asked(box).size(), 1u) << "one playback, one try out";
   // The first viewer goes; the others still wait for the same try.
-  viewer.next.push_back(Hang{first, false});
+  viewer.next.push_back(Close{first, false});
   act(viewer_host);
   EXPECT_EQ(told_of<Withdrawn>().size(), 0u);
   box_sends(box, box_host, box.accepted[0], object("video"));
@@ -439,8 +439,8 @@
   told.clear();
   got(link).clear();
   // The box closes it just as the next request is on its way.
-  box.on_bytes = [&](Puppet&, Link at, std::vector<Act>& acts) {
-    if (at == kept) acts.push_back(Hang{at, false});
+  box.on_bytes = [&](Puppet&, Link at, std::vector<Action>& actions) {
+    if (at == kept) actions.push_back(Close{at, false});
   };
   send(link, get("/a/t/r2/1"));
   ASSERT_EQ(box.accepted.size(), 2u);
@@ -486,7 +486,7 @@
   send(link, "GET /a/t/r2/1 HTTP/1.1\r\nHost: x\r\n\r\n");
   EXPECT_EQ(told_of<Request>().size(), 1u);
   box_sends(box, box_host, box.accepted[0], object("y"));
-  viewer.next.push_back(Hang{link, false});
+  viewer.next.push_back(Close{link, false});
   act(viewer_host);
   EXPECT_EQ(front->held().playbacks, 0u) << "it ends with the connection";
   EXPECT_EQ(told_of<TryEnded>().size(), 1u);
@@ -545,7 +545,7 @@
     const auto link = dial();
     send(link, text);
     EXPECT_TRUE(got(link).starts_with("HTTP/1.1 " + status)) << text << got(link);
-    viewer.next.push_back(Hang{link, false});
+    viewer.next.push_back(Close{link, false});
     act(viewer_host);
   }
   EXPECT_EQ(told_of<Request>().size(), 0u);
@@ -588,7 +588,7 @@
   };
   const auto link = dial();
   send(link, get("/paid/t/r0/0"));
-  viewer.next.push_back(Hang{link, false});
+  viewer.next.push_back(Close{link, false});
   act(viewer_host);
   ASSERT_EQ(told_of<TryEnded>().size(), 1u);
   EXPECT_EQ(told_of<TryEnded>()[0].outcome, Outcome::not_sent);
@@ -639,11 +639,11 @@
     send(link, get("/a/t" + std::to_string(i % 5) + "/r2/0", "s" + std::to_string(i)));
     const auto links = asked(box);
     if (i % 3 == 0 && !links.empty()) box_sends(box, box_host, links.back(), object("x"));
-    if (i % 2 == 0) viewer.next.push_back(Hang{link, i % 4 == 0}), act(viewer_host);
+    if (i % 2 == 0) viewer.next.push_back(Close{link, i % 4 == 0}), act(viewer_host);
     if (i % 7 == 0) net.run(net.now() + 1s);
     for (auto& [l, peer] : box.peers) peer.got.clear();
   }
-  for (Link link = 1; link < next_link; ++link) viewer.next.push_back(Hang{link, false});
+  for (Link link = 1; link < next_link; ++link) viewer.next.push_back(Close{link, false});
   act(viewer_host);
   net.run(net.now() + 30s);
   EXPECT_EQ(front->held().playbacks, 0u);
@@ -670,11 +670,11 @@
   }
   std::map<int, int> slices;
   int polls = 0;
-  list.on_bytes = [&](Puppet&, Link link, std::vector<Act>& acts) {
+  list.on_bytes = [&](Puppet&, Link link, std::vector<Action>& actions) {
     ++polls, ++slices[static_cast<int>(net.now() / 20ms)];
-    acts.push_back(
+    actions.push_back(
         Send{link, http::head_text(200, {}, testing::two_boxes.size(), false) + testing::two_boxes});
-    acts.push_back(Hang{link, true});
+    actions.push_back(Close{link, true});
   };
   net.add(list, 1);
   net.run(10s);
--- a/tests/program/net.h
+++ b/tests/program/net.h
@@ -104,11 +104,11 @@
   };
   struct Event {
     int host = 0;
-    Happening what;
+    IoEvent what;
     std::string bytes;
   };
 
-  void post(Span at, int host, Happening what, std::string bytes = {}) {
+  void post(Span at, int host, IoEvent what, std::string bytes = {}) {
     events_.emplace(std::pair(at, sequence_++), Event{host, std::move(what), std::move(bytes)});
   }
 
@@ -136,12 +136,12 @@
     } else if (const auto* flushed = std::get_if<Flushed>(&event.what)) {
       if (!host.wires.contains(flushed->link)) return;
     }
-    std::vector<Act> acts;
-    host.core->handle(now_, event.what, acts);
-    for (auto& act : acts) perform(event.host, act);
+    std::vector<Action> actions;
+    host.core->handle(now_, event.what, actions);
+    for (auto& act : actions) perform(event.host, act);
   }
 
-  void perform(int at, Act& act) {
+  void perform(int at, Action& act) {
     auto& host = hosts_[at];
     std::visit(
         Visit{
@@ -162,7 +162,7 @@
               if (wire == host.wires.end() || (lost && lost(at, wire->second.host))) return;
               post(now_ + latency, wire->second.host, Received{wire->second.link, {}}, std::move(a.bytes));
             },
-            [&](Hang& a) {
+            [&](Close& a) {
               const auto wire = host.wires.find(a.link);
               if (wire == host.wires.end()) return;
               const auto far = wire->second;
@@ -232,23 +232,23 @@
   };
   std::map<Link, Peer> peers;
   std::vector<Link> accepted;  // in order
-  std::vector<Act> next;       // done at its next happening
-  std::function<void(Puppet&, Link, std::vector<Act>&)> on_bytes;
+  std::vector<Action> next;    // done at its next happening
+  std::function<void(Puppet&, Link, std::vector<Action>&)> on_bytes;
 
-  void handle(Span, const Happening& what, std::vector<Act>& acts) override {
+  void handle(Span, const IoEvent& what, std::vector<Action>& actions) override {
     std::visit(Visit{
                    [&](const Accepted& a) { peers[a.link], accepted.push_back(a.link); },
                    [&](const Connected& c) { peers[c.link].connected = true; },
                    [&](const Received& r) {
                      peers[r.link].got += r.bytes;
-                     if (on_bytes) on_bytes(*this, r.link, acts);
+                     if (on_bytes) on_bytes(*this, r.link, actions);
                    },
                    [&](const HalfClosed& h) { peers[h.link].half_closed = true; },
                    [&](const Ended& e) { peers[e.link].ended = true; },
                    [&](const auto&) {},
                },
                what);
-    for (auto& act : next) acts.push_back(std::move(act));
+    for (auto& act : next) actions.push_back(std::move(act));
     next.clear();
   }
 };
--- a/tests/program/platform_crossings_test.cpp
+++ b/tests/program/platform_crossings_test.cpp
@@ -56,7 +56,7 @@
 
 struct Leaving {
   const char* how;
-  std::vector<Happening> happens;
+  std::vector<IoEvent> happens;
 };
 std::vector<Leaving> ways_to_leave() {
   static const std::string cancel = end();
@@ -552,7 +552,7 @@
   settles = false;
   pass(110ms);  // it would go
   come();       // accepted in that turn, read in the next
-  core->handle(now, Settled{}, acts);
+  core->handle(now, Settled{}, actions);
   EXPECT_FALSE(left());
   hear(viewer, offer());
   unsettled = true;
@@ -571,7 +571,7 @@
   pass(900ms);
   for (Link link = viewer; link < viewer + 10 && !left(); ++link) {
     come(link);
-    core->handle(now, Settled{}, acts);
+    core->handle(now, Settled{}, actions);
   }
   EXPECT_TRUE(left());
 }
@@ -604,13 +604,13 @@
   EXPECT_EQ(sent(viewer + 1), end_line(0xaa, cause::reset));
   EXPECT_EQ(sent(link), release_bytes(call_number, 16)) << "what may still run is given up";
   std::size_t whole = 0;
-  for (const auto& act : acts) {
-    if (const auto* hang = std::get_if<Hang>(&act); hang && hang->link >= viewer)
+  for (const auto& act : actions) {
+    if (const auto* hang = std::get_if<Close>(&act); hang && hang->link >= viewer)
       whole += hang->after_sending;
   }
   EXPECT_EQ(whole, 2u) << "no last answer is cut by a reset";
   EXPECT_TRUE(left());
-  EXPECT_LE(std::get<Leave>(acts.back()).within, 400ms) << "whoever reads nothing keeps it no longer";
+  EXPECT_LE(std::get<Leave>(actions.back()).within, 400ms) << "whoever reads nothing keeps it no longer";
 }
 
 TEST_F(Crossing, AStopBeforeAnythingElseGoesInOrder) {
@@ -620,7 +620,7 @@
   terms.channel = Place{"10.2.0.1", 7070};
   core = std::make_unique<Platform>(
       terms, std::make_unique<Script>(&told, [](Span, const Event&) { return std::vector<Order>{}; }));
-  acts.clear();
+  actions.clear();
   happen(StopAsked{});
   happen(Woken{});
   happen(Reread{"half of a fi"});
--- a/tests/program/platform_fixture.h
+++ b/tests/program/platform_fixture.h
@@ -1,4 +1,4 @@
-// The session manager on the operators' platform as a core: happenings in, acts out, a script in the
+// The session manager on the operators' platform as a core: happenings in, actions out, a script in the
 // module's place; with the words that viewers and servers say.
 #pragma once
 
@@ -66,7 +66,7 @@
         std::make_unique<Platform>(terms, std::make_unique<Script>(&told, [this](Span, const Event& event) {
                                      return says ? says(event) : std::vector<Order>{};
                                    }));
-    acts.clear();
+    actions.clear();
     happen(Woken{});
     channel_link = dialled("10.2.0.1");
   }
@@ -85,16 +85,16 @@
 
   // As the runtime does, it tells of Settled when asked, unless a test holds that back to force what comes
   // first.
-  void happen(const Happening& what) {
-    core->handle(now, what, acts);
-    if (std::erase_if(acts, [](const Act& act) { return std::holds_alternative<Settle>(act); }) > 0)
+  void happen(const IoEvent& what) {
+    core->handle(now, what, actions);
+    if (std::erase_if(actions, [](const Action& act) { return std::holds_alternative<Settle>(act); }) > 0)
       unsettled = true;
     if (settles) settle();
   }
   void settle() {
     while (std::exchange(unsettled, false)) {
-      core->handle(now, Settled{}, acts);
-      if (std::erase_if(acts, [](const Act& act) { return std::holds_alternative<Settle>(act); }) > 0)
+      core->handle(now, Settled{}, actions);
+      if (std::erase_if(actions, [](const Action& act) { return std::holds_alternative<Settle>(act); }) > 0)
         unsettled = true;
     }
   }
@@ -110,7 +110,7 @@
   // What was dialled last at an address; 0: nothing. Forgets it.
   Link dialled(const std::string& address) {
     Link link = 0;
-    std::erase_if(acts, [&](const Act& act) {
+    std::erase_if(actions, [&](const Action& act) {
       const auto* dial = std::get_if<Dial>(&act);
       if (!dial || dial->address != address) return false;
       link = dial->link;
@@ -120,7 +120,7 @@
   }
   std::string sent(Link link) {  // and forgets it
     std::string all;
-    std::erase_if(acts, [&](const Act& act) {
+    std::erase_if(actions, [&](const Action& act) {
       const auto* send = std::get_if<Send>(&act);
       if (!send || send->link != link) return false;
       all += send->bytes;
@@ -129,14 +129,14 @@
     return all;
   }
   bool hung(Link link) const {
-    return std::any_of(acts.begin(), acts.end(), [&](const Act& act) {
-      const auto* hang = std::get_if<Hang>(&act);
+    return std::any_of(actions.begin(), actions.end(), [&](const Action& act) {
+      const auto* hang = std::get_if<Close>(&act);
       return hang && hang->link == link;
     });
   }
   bool left() const {
-    return std::any_of(acts.begin(), acts.end(),
-                       [](const Act& act) { return std::holds_alternative<Leave>(act); });
+    return std::any_of(actions.begin(), actions.end(),
+                       [](const Action& act) { return std::holds_alternative<Leave>(act); });
   }
   Link connect(const std::string& address) {
     const auto link = dialled(address);
@@ -177,7 +177,7 @@
   std::vector<Event> told;
   std::function<std::vector<Order>(const Event&)> says;
   std::unique_ptr<Platform> core;
-  std::vector<Act> acts;
+  std::vector<Action> actions;
   Span now{1s};
   Link channel_link = 0;
   int tries = 0;
--- a/tests/program/platform_test.cpp
+++ b/tests/program/platform_test.cpp
@@ -1,4 +1,4 @@
-// The session manager on the operators' platform as a core: happenings in, acts out, a script in the
+// The session manager on the operators' platform as a core: happenings in, actions out, a script in the
 // module's place. Each test tells what passes on the sockets and what the module hears of it.
 #include "platform/platform.h"
 
@@ -222,7 +222,7 @@
 TEST_F(PlatformTest, WhatIsTurnedOffIsSaidWithItsCauseOnceASecond) {
   const auto said = [&] {
     std::vector<Say> all;
-    for (const auto& act : acts) {
+    for (const auto& act : actions) {
       if (const auto* say = std::get_if<Say>(&act); say && say->event == "turned_off") all.push_back(*say);
     }
     return all;
@@ -472,7 +472,7 @@
     if (i == 0) link = connect("10.1.0.1");
     if (i % 3 != 0) hear(link, accept(id));
     i % 2 == 0 ? hear(link, release(i % 3 == 0 ? 34 : 16, id)) : hear(viewer, end(call_text(id)));
-    acts.clear();
+    actions.clear();
     happen(Flushed{viewer});  // it reads all it is sent
     pass(1ms);
     if (i == 1000) timers = core->held().timers;
--- a/tests/program/rules_manager_test.cpp
+++ b/tests/program/rules_manager_test.cpp
@@ -44,13 +44,15 @@
       box_cores_[b] = std::make_unique<Box>(*this, b);
       net_.add(*box_cores_[b], 1);
     }
-    list_.on_bytes = [this](testing::Puppet&, Link link, std::vector<Act>& acts) {
+    list_.on_bytes = [this](testing::Puppet&, Link link, std::vector<Action>& actions) {
       const auto text = list_text();
-      acts.push_back(Send{link, http::head_text(200, {}, text.size(), false) + text});
-      acts.push_back(Hang{link, true});
+      actions.push_back(Send{link, http::head_text(200, {}, text.size(), false) + text});
+      actions.push_back(Close{link, true});
     };
     net_.add(list_, 1);
-    viewer_.on_bytes = [this](testing::Puppet& puppet, Link link, std::vector<Act>&) { heard(puppet, link); };
+    viewer_.on_bytes = [this](testing::Puppet& puppet, Link link, std::vector<Action>&) {
+      heard(puppet, link);
+    };
     net_.add(viewer_, 0);
   }
 
@@ -90,7 +92,7 @@
     int number;
     std::map<Link, std::string> got;
     std::multimap<Span, std::pair<Link, std::string>> due;  // empty: a reset
-    void handle(Span now, const Happening& what, std::vector<Act>& acts) override {
+    void handle(Span now, const IoEvent& what, std::vector<Action>& actions) override {
       if (const auto* received = std::get_if<Received>(&what)) {
         auto& text = got[received->link];
         text += received->bytes;
@@ -105,13 +107,13 @@
         due.erase(due.begin());
         if (text.empty()) {
           hall.try_over(number, link, false);
-          acts.push_back(Hang{link, false});
+          actions.push_back(Close{link, false});
         } else {
           hall.try_over(number, link, text.starts_with("HTTP/1.1 503"), text.starts_with("HTTP/1.1 200"));
-          acts.push_back(Send{link, text});
+          actions.push_back(Send{link, text});
         }
       }
-      if (!due.empty()) acts.push_back(WakeAt{due.begin()->first});
+      if (!due.empty()) actions.push_back(WakeAt{due.begin()->first});
     }
     void answer(Span now, Link link, const std::string& text) {
       const bool set_up = text.find(", su") != std::string::npos || text.find("su,") != std::string::npos ||
--- a/tests/program/runtime_test.cpp
+++ b/tests/program/runtime_test.cpp
@@ -25,16 +25,16 @@
 class Bounded : public Core {
  public:
   bool gave_up = false;
-  void handle(Span now, const Happening& what, std::vector<Act>& acts) final {
-    if (!began_) began_ = true, acts.push_back(WakeAt{limit});
+  void handle(Span now, const IoEvent& what, std::vector<Action>& actions) final {
+    if (!began_) began_ = true, actions.push_back(WakeAt{limit});
     if (now >= limit) {
       gave_up = true;
-      acts.push_back(Leave{});
+      actions.push_back(Leave{});
       return;
     }
-    happened(now, what, acts);
+    happened(now, what, actions);
   }
-  virtual void happened(Span now, const Happening& what, std::vector<Act>& acts) = 0;
+  virtual void happened(Span now, const IoEvent& what, std::vector<Action>& actions) = 0;
 
  private:
   static constexpr Span limit = 20s;
@@ -48,23 +48,23 @@
   std::string sent, back;
   bool half_closed = false, refused = false, reset = false;
   Link server = 0;
-  void happened(Span, const Happening& what, std::vector<Act>& acts) override {
+  void happened(Span, const IoEvent& what, std::vector<Action>& actions) override {
     std::visit(Visit{
                    [&](const Woken&) {
                      if (sent.empty()) {
                        for (int i = 0; i < 400'000; ++i) sent += static_cast<char>('a' + i % 23);
-                       acts.push_back(Dial{1, "127.0.0.1", port});
+                       actions.push_back(Dial{1, "127.0.0.1", port});
                      }
                    },
                    [&](const Accepted& a) { server = a.link; },
                    [&](const Connected& c) {
-                     if (c.link == 1) acts.push_back(Send{1, sent});
+                     if (c.link == 1) actions.push_back(Send{1, sent});
                    },
                    [&](const Received& r) {
                      if (r.link == server) {
-                       acts.push_back(Send{server, std::string(r.bytes)});
+                       actions.push_back(Send{server, std::string(r.bytes)});
                        echoed_ += r.bytes.size();
-                       if (echoed_ == sent.size()) acts.push_back(Hang{server, true});
+                       if (echoed_ == sent.size()) actions.push_back(Close{server, true});
                      } else {
                        back += r.bytes;
                      }
@@ -72,14 +72,14 @@
                    [&](const HalfClosed& h) {
                      if (h.link != 1) return;
                      half_closed = true;
-                     acts.push_back(Hang{1, false});
-                     acts.push_back(Shut{0});
-                     acts.push_back(Dial{2, "127.0.0.1", port});
+                     actions.push_back(Close{1, false});
+                     actions.push_back(Shut{0});
+                     actions.push_back(Dial{2, "127.0.0.1", port});
                    },
                    [&](const Ended& e) {
                      if (e.link != 2) return;
                      refused = e.how == Ending::refused;
-                     acts.push_back(Leave{});
+                     actions.push_back(Leave{});
                    },
                    [&](const auto&) {},
                },
@@ -109,22 +109,22 @@
   std::size_t got = 0, got_while_held = 0;
   bool flushed_early = false, flushed = false;
   static constexpr std::size_t size = 32 * 1024 * 1024;
-  void happened(Span now, const Happening& what, std::vector<Act>& acts) override {
+  void happened(Span now, const IoEvent& what, std::vector<Action>& actions) override {
     std::visit(Visit{
                    [&](const Woken&) {
                      if (!dialled_)
-                       dialled_ = true, acts.push_back(Dial{1, "127.0.0.1", port});
+                       dialled_ = true, actions.push_back(Dial{1, "127.0.0.1", port});
                      else if (now >= resume_at_ && held_)
-                       held_ = false, acts.push_back(Resume{1});
+                       held_ = false, actions.push_back(Resume{1});
                    },
                    [&](const Accepted& a) {
-                     acts.push_back(Send{a.link, std::string(size, 'x')});
+                     actions.push_back(Send{a.link, std::string(size, 'x')});
                    },
                    [&](const Connected&) {
                      held_ = true;
                      resume_at_ = now + 200ms;
-                     acts.push_back(Hold{1});
-                     acts.push_back(WakeAt{resume_at_});
+                     actions.push_back(Hold{1});
+                     actions.push_back(WakeAt{resume_at_});
                    },
                    [&](const Flushed& f) {
                      if (f.link < first_accepted) return;
@@ -134,7 +134,7 @@
                    [&](const Received& r) {
                      if (held_) got_while_held += r.bytes.size();
                      got += r.bytes.size();
-                     if (got == size) acts.push_back(Leave{});
+                     if (got == size) actions.push_back(Leave{});
                    },
                    [&](const auto&) {},
                },
@@ -176,16 +176,16 @@
   class Dialler : public Core {
    public:
     bool unable = false, woken = false;
-    void handle(Span now, const Happening& what, std::vector<Act>& acts) override {
+    void handle(Span now, const IoEvent& what, std::vector<Action>& actions) override {
       if (!std::exchange(began_, true)) {
-        acts.push_back(WakeAt{now + 50ms});
-        acts.push_back(Dial{1, "box-1.example", 80});
+        actions.push_back(WakeAt{now + 50ms});
+        actions.push_back(Dial{1, "box-1.example", 80});
         due_ = now + 50ms;
         return;
       }
       if (const auto* ended = std::get_if<Ended>(&what)) unable = ended->how == Ending::unable && !woken;
       if (std::holds_alternative<Woken>(what) && now >= due_) woken = true;
-      if (woken) acts.push_back(Leave{});
+      if (woken) actions.push_back(Leave{});
     }
 
    private:
@@ -205,18 +205,18 @@
    public:
     std::vector<Ending> ends;
     std::uint16_t nobody = 0;
-    void happened(Span, const Happening& what, std::vector<Act>& acts) override {
-      if (!std::exchange(began_, true)) acts.push_back(Dial{1, "127.0.0.1", nobody});
+    void happened(Span, const IoEvent& what, std::vector<Action>& actions) override {
+      if (!std::exchange(began_, true)) actions.push_back(Dial{1, "127.0.0.1", nobody});
       const auto* ended = std::get_if<Ended>(&what);
       if (!ended) return;
       ends.push_back(ended->how);
-      if (ends.size() == 2) return acts.push_back(Leave{});
+      if (ends.size() == 2) return actions.push_back(Leave{});
       rlimit limit{};
       getrlimit(RLIMIT_NOFILE, &limit);
       was_ = limit.rlim_cur;
       limit.rlim_cur = 3;
       setrlimit(RLIMIT_NOFILE, &limit);
-      acts.push_back(Dial{2, "127.0.0.1", nobody});
+      actions.push_back(Dial{2, "127.0.0.1", nobody});
     }
     ~Dialler() override {
       rlimit limit{};
@@ -247,16 +247,16 @@
    public:
     std::string order;
     std::function<void()> comes;
-    void happened(Span, const Happening& what, std::vector<Act>& acts) override {
+    void happened(Span, const IoEvent& what, std::vector<Action>& actions) override {
       if (!std::exchange(began_, true)) comes();
       if (std::holds_alternative<Received>(what)) {
         order += 'r';
-        acts.push_back(Settle{});
+        actions.push_back(Settle{});
       }
       if (std::holds_alternative<HalfClosed>(what) || std::holds_alternative<Ended>(what)) order += 'e';
       if (std::holds_alternative<Settled>(what)) {
         order += 's';
-        acts.push_back(Leave{});
+        actions.push_back(Leave{});
       }
     }
 
@@ -289,14 +289,14 @@
    public:
     std::uint16_t port = 0;
     Span left_at{0};
-    void happened(Span now, const Happening& what, std::vector<Act>& acts) override {
-      if (!std::exchange(dialled_, true)) acts.push_back(Dial{1, "127.0.0.1", port});
-      if (std::holds_alternative<Connected>(what)) acts.push_back(Hold{1}), held_ = true;
+    void happened(Span now, const IoEvent& what, std::vector<Action>& actions) override {
+      if (!std::exchange(dialled_, true)) actions.push_back(Dial{1, "127.0.0.1", port});
+      if (std::holds_alternative<Connected>(what)) actions.push_back(Hold{1}), held_ = true;
       if (const auto* accepted = std::get_if<Accepted>(&what)) to_ = accepted->link;
       if (!held_ || to_ == 0) return;
-      acts.push_back(Send{to_, std::string(64 * 1024 * 1024, 'x')});
-      acts.push_back(Hang{to_, true});
-      acts.push_back(Leave{100ms});
+      actions.push_back(Send{to_, std::string(64 * 1024 * 1024, 'x')});
+      actions.push_back(Close{to_, true});
+      actions.push_back(Leave{100ms});
       left_at = now;
     }
 
@@ -316,12 +316,12 @@
 class LastAnswer : public Bounded {
  public:
   static constexpr std::size_t size = 16 * 1024 * 1024;
-  void happened(Span, const Happening& what, std::vector<Act>& acts) override {
+  void happened(Span, const IoEvent& what, std::vector<Action>& actions) override {
     const auto* asked = std::get_if<Received>(&what);
     if (!asked) return;
-    acts.push_back(Send{asked->link, std::string(size, 'x')});
-    acts.push_back(Hang{asked->link, true});
-    acts.push_back(Leave{});
+    actions.push_back(Send{asked->link, std::string(size, 'x')});
+    actions.push_back(Close{asked->link, true});
+    actions.push_back(Leave{});
   }
 };
 
@@ -367,25 +367,25 @@
   static constexpr std::size_t size = 16 * 1024 * 1024;
   std::uint16_t port = 0;
   std::size_t came = 0;
-  void happened(Span now, const Happening& what, std::vector<Act>& acts) override {
-    if (!std::exchange(dialled_, true)) acts.push_back(Dial{1, "127.0.0.1", port});
+  void happened(Span now, const IoEvent& what, std::vector<Action>& actions) override {
+    if (!std::exchange(dialled_, true)) actions.push_back(Dial{1, "127.0.0.1", port});
     if (const auto* accepted = std::get_if<Accepted>(&what)) {
-      acts.push_back(Send{accepted->link, std::string(size, 'x')});
-      acts.push_back(Hang{accepted->link, true});
+      actions.push_back(Send{accepted->link, std::string(size, 'x')});
+      actions.push_back(Close{accepted->link, true});
     }
     if (const auto* connected = std::get_if<Connected>(&what)) {
-      acts.push_back(Hold{connected->link});
+      actions.push_back(Hold{connected->link});
       read_at_ = now + 700ms;
-      acts.push_back(WakeAt{read_at_});
+      actions.push_back(WakeAt{read_at_});
     }
     if (std::holds_alternative<Woken>(what) && read_at_ > 0s && now >= read_at_) {
       read_at_ = 0s;
-      acts.push_back(Resume{1});
-      acts.push_back(WakeAt{20s});  // the bound again
+      actions.push_back(Resume{1});
+      actions.push_back(WakeAt{20s});  // the bound again
     }
     if (const auto* received = std::get_if<Received>(&what)) came += received->bytes.size();
     if (std::holds_alternative<HalfClosed>(what) || std::holds_alternative<Ended>(what))
-      acts.push_back(Leave{});
+      actions.push_back(Leave{});
   }
 
  private:
@@ -409,21 +409,21 @@
     std::uint16_t port = 0;
     std::string answer;
     bool stopped = false;
-    void happened(Span now, const Happening& what, std::vector<Act>& acts) override {
+    void happened(Span now, const IoEvent& what, std::vector<Action>& actions) override {
       // Links 1000 and up are the viewer's own.
       if (const auto* connected = std::get_if<Connected>(&what); connected && connected->link == 1000) {
-        acts.push_back(Send{1000, "GET /a/t/r0/0 HTTP/1.1\r\nHost: x\r\n\r\n"});
+        actions.push_back(Send{1000, "GET /a/t/r0/0 HTTP/1.1\r\nHost: x\r\n\r\n"});
         return;
       }
       if (const auto* received = std::get_if<Received>(&what); received && received->link == 1000) {
         answer += received->bytes;
         if (answer.find("\r\n\r\n") != std::string::npos && !stopped)
-          stopped = true, front->handle(now, StopAsked{}, acts);
+          stopped = true, front->handle(now, StopAsked{}, actions);
         return;
       }
       if (const auto* half = std::get_if<HalfClosed>(&what); half && half->link == 1000) return;
-      front->handle(now, what, acts);
-      if (!dialled_) dialled_ = true, acts.push_back(Dial{1000, "127.0.0.1", port});
+      front->handle(now, what, actions);
+      if (!dialled_) dialled_ = true, actions.push_back(Dial{1000, "127.0.0.1", port});
     }
 
    private:
@@ -450,14 +450,14 @@
   class Waiting : public Bounded {
    public:
     std::string path, text;
-    void happened(Span, const Happening& what, std::vector<Act>& acts) override {
+    void happened(Span, const IoEvent& what, std::vector<Action>& actions) override {
       if (std::holds_alternative<Woken>(what)) {
         std::ofstream(path) << "the second";
         kill(getpid(), SIGHUP);
       }
       if (const auto* reread = std::get_if<Reread>(&what)) {
         text = reread->text;
-        acts.push_back(Leave{});
+        actions.push_back(Leave{});
       }
     }
   };
@@ -476,7 +476,7 @@
 TEST(Runtime, AHangupEndsWhoHasNoFileToReadAgain) {
   class Waiting : public Bounded {
    public:
-    void happened(Span, const Happening&, std::vector<Act>&) override { kill(getpid(), SIGHUP); }
+    void happened(Span, const IoEvent&, std::vector<Action>&) override { kill(getpid(), SIGHUP); }
   };
   const auto run = [] {
     Waiting core;
--- a/tests/program/seats_test.cpp
+++ b/tests/program/seats_test.cpp
@@ -44,21 +44,21 @@
     net.add(viewer, 0);
     serves(list, boxes_json);
     serves(keys, issuer.key_set());
-    box.on_bytes = [this](Puppet& own, Link link, std::vector<Act>& acts) {
+    box.on_bytes = [this](Puppet& own, Link link, std::vector<Action>& actions) {
       auto& got = own.peers[link].got;
       for (auto end = got.find("\r\n\r\n"); end != std::string::npos; end = got.find("\r\n\r\n")) {
         const auto head = got.substr(0, end);
         got.erase(0, end + 4);
         if (head.starts_with("GET") && head.find("su") != std::string::npos) ++set_ups;
-        if (!mute) acts.push_back(Send{link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"});
+        if (!mute) actions.push_back(Send{link, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"});
       }
     };
     net.run(500ms);
   }
   static void serves(Puppet& puppet, std::string body) {
-    puppet.on_bytes = [body](Puppet&, Link link, std::vector<Act>& acts) {
-      acts.push_back(Send{link, http::head_text(200, {}, body.size(), false) + body});
-      acts.push_back(Hang{link, true});
+    puppet.on_bytes = [body](Puppet&, Link link, std::vector<Action>& actions) {
+      actions.push_back(Send{link, http::head_text(200, {}, body.size(), false) + body});
+      actions.push_back(Close{link, true});
     };
   }
   std::unique_ptr<Manager> make(int m, std::uint32_t restart, std::vector<entitlement::Record> kept) {
