End a stop by itself before it is killed, and read what came during a standstill first

It ends 0.1 s before it may be killed now. By reading: after a standstill timers rang before anything that had come meanwhile was read, so that attempts were late and servers silent on this process's account; line: Platform::handle. All is read first now.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -21,12 +21,12 @@
 constexpr Span sign_wanted_after{2s};  // a server where playbacks play is dialled after such silence
 constexpr Span sign_limit{5500ms};     // and given up after so much, if no dial came up since
 constexpr Span between_signs{500ms};
-constexpr Span retired_stays{1s};     // for what the server says on the old connection meanwhile
-constexpr Span turned_off_every{1s};  // said so often at most, against floods in the log
-constexpr Span stop_at_least{3s};
+constexpr Span retired_stays{1s};       // for what the server says on the old connection meanwhile
+constexpr Span turned_off_every{1s};    // said so often at most, against floods in the log
+constexpr Span stop_at_most{3s};        // what a longer abandon time counts as
 constexpr Span stop_quiet{800ms};       // requests still come for so long after the word
-constexpr Span stop_answers_in{200ms};  // beyond the longest abandon time all have their answers
-constexpr Span stop_reads_in{300ms};    // and viewers have so long to read them
+constexpr Span stop_answers_in{400ms};  // beyond the longest abandon time all have their answers
+constexpr Span stop_reads_in{200ms};    // and viewers have so long to read them; killed 0.1 s later
 constexpr std::size_t most_unsent = 256 * 1024;
 constexpr std::size_t description_most = 8 * 1024;
 constexpr std::size_t name_most = 256;
@@ -87,6 +87,10 @@
 }
 
 void Platform::handle(Span now, const IoEvent& what, std::vector<Action>& actions) {
+  // Guards against blaming others for this process's own standstill: what came meanwhile is read before any
+  // timer rings.
+  if (begun_ && now - now_ > sweep_every + stood_still) still_ = true;
+  if (std::holds_alternative<Settled>(what)) still_ = false;
   now_ = now;
   actions_ = &actions;
   if (!std::exchange(begun_, true)) {
@@ -97,7 +101,7 @@
     say("begun", {{"name", terms_.name}, {"servers", static_cast<std::int64_t>(servers_.size())}});
   }
   std::vector<std::uint64_t> rung;
-  wheel_.advance(now, rung);
+  still_ ? settle() : wheel_.advance(now, rung);
   for (const auto bell : rung)
     ring({static_cast<Ring>(bell >> ring_shift), bell & ((std::uint64_t{1} << ring_shift) - 1)});
   std::visit([this](const auto& happened) { on(happened); }, what);
@@ -200,9 +204,9 @@
 void Platform::on(const StopAsked&) {
   if (stop_asked_) return;
   stop_asked_ = now_;
-  Span longest = stop_at_least;
+  Span longest{0};
   for (const auto abandon : terms_.abandon) longest = std::max(longest, abandon);
-  arm(longest + stop_answers_in, Ring::stop);
+  arm(std::min(longest, stop_at_most) + stop_answers_in, Ring::stop);
   say("stopping", {{"playbacks", static_cast<std::int64_t>(playbacks_.size())}});
 }
 
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -188,6 +188,7 @@
   bool accepted_ = false;  // somebody, since it was looked at last
   int leave_turns_ = 0;
   bool settle_asked_ = false;
+  bool still_ = false;                // stood still, and what came meanwhile is not read yet
   std::vector<PlaybackId> settling_;  // whose tries go out then
   Wheel<std::uint64_t> wheel_;
   Span woken_for_{-1};
