Wake no core before the time it asked for

Seen: after the landing runs runtime_test hung on its fourth of six runs beside other tests, for 1,150 s. Traced with a debugger on the hung process: ADialThatFailsAtOnceIsToldAsOursAndTakesNoTimer, in epoll_wait without a timer. Cause: libuv counts whole milliseconds, so a timer asked for late in one, with a further turn early in the next, rings up to a millisecond early; a core that then waits for its time waits for good. Change: a ring before the time arms the timer again. Ruled out: the seam's new Settle, a refused dial, a lost signal.

--- a/src/runtime/runtime.cpp
+++ b/src/runtime/runtime.cpp
@@ -436,11 +436,17 @@
   }
 
   void wake(Span at) {
+    wake_at_ = at;
     const auto in = std::max<std::int64_t>(0, (at - now()).count());
     uv_update_time(&loop_);
     uv_timer_start(
-        &timer_, [](uv_timer_t* t) { of(t)->deliver(Woken{}); },
-        static_cast<std::uint64_t>((in + 999) / 1000), 0);
+        &timer_, [](uv_timer_t* t) { of(t)->rang(); }, static_cast<std::uint64_t>((in + 999) / 1000), 0);
+  }
+  // Guards against telling a core that its time has come before it has, after which none would come: libuv
+  // counts whole milliseconds, and so rings up to one early.
+  void rang() {
+    time_read_ = false;
+    now() < wake_at_ ? wake(wake_at_) : deliver(Woken{});
   }
 
   void open(int door) {
@@ -546,7 +552,7 @@
   uv_signal_t hangup_{};
   std::string reread_;
   std::uint64_t origin_ = 0;
-  Span time_{0};
+  Span time_{0}, wake_at_{0};
   bool time_read_ = false;
   std::vector<Listening> places_;
   std::vector<Listener*> doors_;
--- a/tests/program/runtime_test.cpp
+++ b/tests/program/runtime_test.cpp
@@ -283,6 +283,43 @@
   }
 }
 
+// A core that waits for a time and is woken before it would wait for good. It asks late in a millisecond of
+// the machine's clock and takes a further turn early in the next, where a timer of whole ones rings early.
+TEST(Runtime, NobodyIsWokenBeforeTheTimeAskedFor) {
+  class Sleeper : public Core {
+   public:
+    int woken = 0, early = 0;
+    void handle(Span now, const IoEvent& what, std::vector<Action>& actions) override {
+      if (std::holds_alternative<Woken>(what)) {
+        if (at_ > 0s) ++woken, early += now < at_;
+        if (woken == 50) return actions.push_back(Leave{});
+        while (in_millisecond() < 800) {
+        }
+        turn_ = 0;
+        return actions.push_back(Settle{});  // for a turn whose time is read now
+      }
+      if (!std::holds_alternative<Settled>(what)) return;
+      if (turn_++ == 0) {
+        at_ = now + 3ms;
+        actions.push_back(WakeAt{at_});
+        return actions.push_back(Settle{});
+      }
+      while (in_millisecond() >= 800) {
+      }
+    }
+
+   private:
+    static std::uint64_t in_millisecond() { return Loop::machine_clock_us() % 1000; }
+    Span at_{0};
+    int turn_ = 0;
+  };
+  Sleeper core;
+  Loop loop(core, {}, {}, "");
+  loop.run();
+  EXPECT_EQ(core.woken, 50);
+  EXPECT_EQ(core.early, 0);
+}
+
 // Sends more than any buffer holds to a reader who reads nothing, and leaves.
 TEST(Runtime, AReaderWhoReadsNothingKeepsNobodyWhoLeaves) {
   class Unread : public Bounded {
