--- a/tests/program/platform_sockets_test.cpp
+++ b/tests/program/platform_sockets_test.cpp
@@ -235,6 +235,15 @@
     return std::nullopt;
   }
 
+  // This viewer's playback 1 plays; `box`: the server's end of the connection that was dialled for it.
+  void play(Peer& viewer, Door& server, std::optional<Peer>& box) {
+    viewer.say(offer(1));
+    box = server.accept();
+    ASSERT_TRUE(box && box->hear(bytes_of(1)));
+    box->say(accept_of(1));
+    ASSERT_TRUE(viewer.hear("\"accept\""));
+  }
+
   std::string folder_, first_test;
   std::uint16_t port_ = 0;
   pid_t process_ = 0;
@@ -245,11 +254,8 @@
   Door server, channel;
   start(server.port, channel.port);
   auto first = Peer::to(port_);
-  first.say(offer(1));
-  auto box = server.accept();
-  ASSERT_TRUE(box && box->hear(bytes_of(1)));
-  box->say(accept_of(1));
-  ASSERT_TRUE(first.hear("\"accept\""));
+  std::optional<Peer> box;
+  ASSERT_NO_FATAL_FAILURE(play(first, server, box));
   stop();
   std::vector<Peer> leavers;
   for (std::uint64_t call = 16; call < 24; ++call) {
@@ -323,11 +329,8 @@
   Door server, channel;
   start(server.port, channel.port);
   auto playing = Peer::to(port_);
-  playing.say(offer(1));
-  auto box = server.accept();
-  ASSERT_TRUE(box && box->hear(bytes_of(1)));
-  box->say(accept_of(1));
-  ASSERT_TRUE(playing.hear("\"accept\""));
+  std::optional<Peer> box;
+  ASSERT_NO_FATAL_FAILURE(play(playing, server, box));
   auto waiting = Peer::to(port_);
   waiting.say(offer(2, 3000));
   ASSERT_TRUE(box->hear(bytes_of(2)));
