--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -370,6 +370,8 @@
   std::map<Call, double> cut_at;  // sessions that ended with a process, and when
   std::function<void(Server&, Call)> on_set_up;
   std::function<void(Server&, Link&, int, Call)> on_message;  // each message, before it is handled
+  // Answers a set-up in a way of its own; false: the usual way.
+  std::function<bool(Server&, Link&, Call)> answers_otherwise;
   std::size_t set_ups = 0;
 
  private:
@@ -452,6 +454,8 @@
       sessions[call] = {&link, false, parameters[141]};
       if (on_set_up)
         on_set_up(*this, call);
+      if (answers_otherwise && answers_otherwise(*this, link, call))
+        return;
       const int life = life_;
       world_.after(answer_after_ms, [this, life, call] {
         const auto found = sessions.find(call);
@@ -520,8 +524,10 @@
                      std::to_string(events.size() + 1) + R"(,"snapshot":)" + (snapshot ? "true" : "false") +
                      R"(,"endpoints":[)" + entries + "]}}");
     RECORD("channel: %s", events.back().c_str());
-    for (auto* follower : followers_)
-      follower->send(events.back() + "\n");
+    for (auto* follower : followers_) {
+      if (!silent)
+        follower->send(events.back() + "\n");
+    }
   }
   std::string known() const {
     std::string all;
@@ -529,12 +535,27 @@
       all += (all.empty() ? "" : ",") + event;
     return R"({"cursor":)" + std::to_string(events.size()) + R"(,"cmds":[)" + all + "]}";
   }
+  // Ends all its connections; it goes on listening.
+  void break_off() {
+    RECORD("channel: breaks off");
+    for (auto* follower : std::set<Link*>(followers_))
+      world_.close(*follower, true);
+    followers_.clear();
+  }
+  // Stops accepting connections, as the old address does after a new configuration.
+  void stop_listening() {
+    world_.remove_listener(fd_);
+    ::close(fd_);
+  }
   std::string ip;
   std::uint16_t port = 0;
   std::vector<std::string> events;
+  bool silent = false;  // open connections get nothing
 
  private:
   void tick() {
+    if (silent)
+      return world_.after(1000, [this] { tick(); });
     for (auto* follower : followers_)
       follower->send(std::to_string(events.size()) + "\n");
     world_.after(1000, [this] { tick(); });
