--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -86,7 +86,7 @@
 // An address of this run alone; the last byte is the caller's.
 inline std::string own_address(unsigned last) {
   const auto pid = static_cast<unsigned>(::getpid());
-  return "127." + std::to_string(64 + (pid >> 16 & 127)) + "." + std::to_string(pid >> 8 & 255) + "." +
+  return "127." + std::to_string(64 + (pid >> 12 & 127)) + "." + std::to_string(pid >> 4 & 255) + "." +
          std::to_string((pid & 15) * 16 + (last & 15));
 }
 inline sockaddr_in socket_address(const std::string& ip, std::uint16_t port) {
