Remove playbacks and viewers only after the event in hand is handled

Cause: handlers called, half-way, what may remove the thing they work on. Queueing a release checked whether the server is lost and ended all its playbacks, the one in handle_end() among them; sending a line to a viewer that reads nothing removed that viewer and cancelled its requests.

Change: the check of a server's liveness and the close of a viewer that reads nothing are recorded and run when the event is handled and nothing is held. An end that does not fit is told on another connection. No other order of actions is changed.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -137,6 +137,7 @@
     on_timer({static_cast<TimerKind>(timer >> timer_kind_shift),
               timer & ((std::uint64_t{1} << timer_kind_shift) - 1)});
   std::visit([this](const auto& concrete) { on(concrete); }, event);
+  run_deferred_work();
   poll_channel();
   if (const auto next = wheel_.next(); next && *next != next_wakeup_) {
     next_wakeup_ = *next;
@@ -144,6 +145,16 @@
   }
 }
 
+// Each step starts with nothing in hand, so it may remove playbacks and connections of all kinds.
+void Platform::run_deferred_work() {
+  while (!liveness_checks_due_.empty() || !overflowed_viewers_.empty()) {
+    for (const auto connection : std::exchange(overflowed_viewers_, {}))
+      close_overflowed_viewer(connection);
+    for (const auto id : std::exchange(liveness_checks_due_, {}))
+      check_server_liveness(id);
+  }
+}
+
 TimerWheel<std::uint64_t>::Handle Platform::start_timer(Duration delay, TimerKind kind,
                                                         std::uint64_t payload) {
   return wheel_.schedule(now_ + delay, static_cast<std::uint64_t>(kind) << timer_kind_shift | payload);
@@ -238,7 +249,7 @@
   }
   for (ServerId id = 0; id < servers_.size(); ++id) {
     if (!servers_[id].playing.empty() || !servers_[id].queued_releases.empty())
-      check_server_liveness(id);
+      request_liveness_check(id);
   }
   if (!shutdown_requested_at_ || now_ - *shutdown_requested_at_ < shutdown_min_time)
     return;
@@ -447,7 +458,7 @@
     found->second.reader.feed(event.bytes, messages);
     for (auto& message : messages) {
       const auto viewer = viewers_.find(event.connection);
-      if (viewer == viewers_.end())
+      if (viewer == viewers_.end() || viewer->second.overflowed)
         return;
       if (const auto* error = std::get_if<ParseError>(&message)) {
         refuse_message(event.connection, error->call, error->message);
@@ -507,7 +518,7 @@
       server.first_dial_refusal_at = now_;
   }
   if (!server.playing.empty())
-    check_server_liveness(id);
+    request_liveness_check(id);
 }
 
 void Platform::on(const Flushed& event) {
@@ -517,18 +528,28 @@
 
 // ---- viewers ----
 
-void Platform::send_to_viewer(ConnectionId connection, std::string line) {
+// Returns whether the line was sent.
+bool Platform::send_to_viewer(ConnectionId connection, std::string line) {
   const auto found = viewers_.find(connection);
-  if (found == viewers_.end())
-    return;
-  found->second.unsent_bytes += line.size();
+  if (found == viewers_.end() || found->second.overflowed)
+    return false;
+  auto& viewer = found->second;
+  viewer.unsent_bytes += line.size();
   // Guards against unbounded buffering for a viewer that reads nothing.
-  if (found->second.unsent_bytes > max_unsent_bytes) {
-    remove_viewer(connection);
-    actions_->push_back(Close{connection, false});
-    return;
+  if (viewer.unsent_bytes > max_unsent_bytes) {
+    viewer.overflowed = true;
+    overflowed_viewers_.push_back(connection);
+    return false;
   }
   actions_->push_back(Send{connection, std::move(line)});
+  return true;
+}
+
+void Platform::close_overflowed_viewer(ConnectionId connection) {
+  if (!viewers_.contains(connection))
+    return;  // closed meanwhile for another reason
+  remove_viewer(connection);
+  actions_->push_back(Close{connection, false});
 }
 
 void Platform::on_viewer_message(ConnectionId connection, ViewerConnection& viewer, ViewerMessage& message) {
@@ -540,7 +561,7 @@
     case ViewerMessage::Kind::end:
       return handle_end(connection, message.call);
     case ViewerMessage::Kind::test:
-      return send_to_viewer(connection, tested_line(message.call, is_ready()));
+      return void(send_to_viewer(connection, tested_line(message.call, is_ready())));
     case ViewerMessage::Kind::ended:
       return;
     case ViewerMessage::Kind::other:
@@ -562,7 +583,7 @@
   if (call)
     send_to_viewer(connection, end_line(*call, platform::cause::invalid_message));
   const auto viewer = viewers_.find(connection);
-  if (viewer == viewers_.end())
+  if (viewer == viewers_.end() || viewer->second.overflowed)
     return;
   if (call && (!viewer->second.unanswered.empty() || viewer->second.playing_count > 0))
     return;
@@ -662,7 +683,7 @@
           return one.call == message.call && servers_[one.server].name == current_server;
         });
     if (release != unmatched_releases_.end())
-      return send_to_viewer(connection, end_line(message.call, release->cause));
+      return void(send_to_viewer(connection, end_line(message.call, release->cause)));
   }
   const auto id = add_playback(message.call, connection, request, message.fields.at("key"));
   request.playback = id;
@@ -683,18 +704,19 @@
   ++viewer.playing_count;
   last_started_viewer_ = connection;
   process_event(PlaybackAdopted{request, server});
-  check_server_liveness(server);
+  request_liveness_check(server);
 }
 
 void Platform::handle_end(ConnectionId connection, CallId call) {
-  const auto known = playbacks_by_call_.find(call);
   send_to_viewer(connection, ended_line(call));
+  const auto known = playbacks_by_call_.find(call);
   if (known == playbacks_by_call_.end())
     return;
   const auto id = known->second;
-  if (playbacks_.at(id).state != Playback::State::playing)
+  const auto& playback = playbacks_.at(id);
+  if (playback.state != Playback::State::playing)
     return cancel_request(id);
-  send_or_queue_release(playbacks_.at(id).server, release_bytes(call, cause::ended));
+  send_or_queue_release(playback.server, release_bytes(call, cause::ended));
   end_playback(id, Outcome::cancelled, {}, std::nullopt);
 }
 
@@ -808,7 +830,7 @@
     return send_to_server(server.connection, std::move(bytes));
   if (server.queued_releases.size() < max_queued_messages)
     server.queued_releases.push_back(std::move(bytes));
-  check_server_liveness(id);
+  request_liveness_check(id);
 }
 
 void Platform::record_server_activity(ServerConnection& connection) {
@@ -817,6 +839,9 @@
   server.consecutive_dial_refusals = 0;
 }
 
+// Guards against a handler losing the playback it works on: the check may end all playbacks of the server.
+void Platform::request_liveness_check(ServerId id) { liveness_checks_due_.insert(id); }
+
 // Keeps a connection to a server with playbacks, on which it reports their ends. After a time of silence a
 // new one is dialled as a health check, as a connection to a vanished machine stays half-open.
 void Platform::check_server_liveness(ServerId id) {
@@ -1095,26 +1120,38 @@
   process_event(TryEnded{id, server, outcome, playback_over, load});
 }
 
-// Guards against losing the report of an end when the playback's connection is closed: it is sent on another
-// open connection or, if there is none, on the next one that sends a message.
+// Guards against losing the report of an end when the playback's connection is closed or reads nothing: it is
+// sent on another open connection or, if there is none, on the next one that sends a message.
 void Platform::notify_end(const Playback& playback, int cause) {
-  auto to = viewers_.find(playback.viewer_connection);
-  if (to == viewers_.end())
-    to = viewers_.find(last_started_viewer_);
-  if (to == viewers_.end()) {
-    for (auto one = viewers_.begin(); one != viewers_.end(); ++one) {
-      const auto rank = [](const auto& it) {
-        return std::tuple(it->second.playing_count > 0, it->second.last_heard_at, it->first);
-      };
-      if (one->second.has_sent_message && (to == viewers_.end() || rank(one) > rank(to)))
-        to = one;
-    }
+  const auto line = end_line(playback.call, cause);
+  while (const auto connection = connection_for_end(playback)) {
+    if (send_to_viewer(connection, line))
+      return;
   }
-  auto line = end_line(playback.call, cause);
-  if (to != viewers_.end())
-    return send_to_viewer(to->first, std::move(line));
   if (undelivered_ends_.size() < max_queued_messages)
-    undelivered_ends_.push_back(std::move(line));
+    undelivered_ends_.push_back(line);
+}
+
+// Returns 0 if no viewer reads.
+ConnectionId Platform::connection_for_end(const Playback& playback) const {
+  const auto reads = [&](ConnectionId connection) {
+    const auto found = viewers_.find(connection);
+    return found != viewers_.end() && !found->second.overflowed;
+  };
+  if (reads(playback.viewer_connection))
+    return playback.viewer_connection;
+  if (reads(last_started_viewer_))
+    return last_started_viewer_;
+  ConnectionId best = 0;
+  std::tuple<bool, Duration, ConnectionId> best_rank;
+  for (const auto& [connection, viewer] : viewers_) {
+    const std::tuple rank(viewer.playing_count > 0, viewer.last_heard_at, connection);
+    if (!viewer.has_sent_message || viewer.overflowed || (best != 0 && rank <= best_rank))
+      continue;
+    best = connection;
+    best_rank = rank;
+  }
+  return best;
 }
 
 // Ends a playing playback. `viewer_cause`: the cause to report to the viewer, if a report is owed.
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -49,6 +49,7 @@
     std::set<PlaybackId> unanswered;        // set-ups without an answer
     std::size_t playing_count = 0;          // playbacks whose end is reported on this connection
     std::size_t unsent_bytes = 0;           // passed to the runtime since its last Flushed
+    bool overflowed = false;                // reads nothing: closed at the end of the current event
     std::optional<Duration> closing_since;  // when the close was scheduled; a valid message cancels it
   };
   // A connection to a video server, or the dial of one.
@@ -135,6 +136,7 @@
   void on(const ConfigReloaded& event);
   void on(const InputDrained&);
   void on_timer(const ExpiredTimer& timer);
+  void run_deferred_work();
   void sweep();
 
   // ---- viewers ----
@@ -149,7 +151,8 @@
   void evict_idle_viewers();
   void schedule_close(ConnectionId connection, ViewerConnection& viewer);
   void close_scheduled_viewers();
-  void send_to_viewer(ConnectionId connection, std::string line);
+  bool send_to_viewer(ConnectionId connection, std::string line);
+  void close_overflowed_viewer(ConnectionId connection);
 
   // ---- servers ----
   ServerId server_id(const std::string& name);
@@ -168,6 +171,7 @@
   void send_try(Playback& playback);
   void send_to_server(ConnectionId connection, std::string bytes);
   void send_or_queue_release(ServerId id, std::string bytes);
+  void request_liveness_check(ServerId id);
   void check_server_liveness(ServerId id);
   void end_all_playbacks(ServerId id, const char* cause);
   void record_server_activity(ServerConnection& connection);
@@ -180,6 +184,7 @@
   void end_try(PlaybackId id, Outcome outcome, const LoadReport& load, bool playback_over);
   void end_playback(PlaybackId id, Outcome outcome, const LoadReport& load, std::optional<int> viewer_cause);
   void notify_end(const Playback& playback, int cause);
+  ConnectionId connection_for_end(const Playback& playback) const;
   void remove_playback(PlaybackId id);
   void process_event(Event event);
   void execute(const Command& command);
@@ -217,6 +222,10 @@
   std::vector<PlaybackId> tries_awaiting_drain_;  // sent at InputDrained
   TimerWheel<std::uint64_t> wheel_;
   Duration next_wakeup_{-1};  // of the runtime; negative: none requested
+  // Work that may remove playbacks and connections, put off to the end of the current event: no handler then
+  // loses what it works on.
+  std::set<ServerId> liveness_checks_due_;
+  std::vector<ConnectionId> overflowed_viewers_;
   std::deque<Event> event_queue_;
   bool processing_events_ = false;
 
--- a/tests/program/platform_crossings_test.cpp
+++ b/tests/program/platform_crossings_test.cpp
@@ -32,25 +32,6 @@
   std::string setup_message(CallId id = call_id) const {
     return setup_bytes({id, "triage", "t1", "tag\r\nc=IN\r\n", 500, 1});
   }
-  std::string test_request() const {
-    return R"({"op":"test","call":"0000000000000001","with":{},"why":0})"
-           "\n";
-  }
-  std::size_t count(const std::string& text, const std::string& part) const {
-    std::size_t found = 0;
-    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
-      ++found;
-    return found;
-  }
-  std::string list_entry(const std::string& name, const std::string& at, const std::string& status) const {
-    return R"({"name":")" + name + R"(","address":")" + at +
-           R"(:3868","zone":"h","type":"std","group":0,"status":")" + status +
-           R"(","weight":1,"since_ms":0})";
-  }
-  std::string event(int number, bool snapshot, const std::string& entries) const {
-    return R"({"cursor":)" + std::to_string(number) + R"(,"nodes":{"snapshot":)" +
-           (snapshot ? "true" : "false") + R"(,"endpoints":[)" + entries + "]}}\n";
-  }
 };
 
 // ---- the viewer leaves ----
--- a/tests/program/platform_fixture.h
+++ b/tests/program/platform_fixture.h
@@ -84,6 +84,26 @@
            entry("s-b", "10.1.0.2", b, "0") + "]}}";
   }
 
+  static std::string test_request() {
+    return R"({"op":"test","call":"0000000000000001","with":{},"why":0})"
+           "\n";
+  }
+  static std::size_t count(const std::string& text, const std::string& part) {
+    std::size_t found = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+      ++found;
+    return found;
+  }
+  static std::string list_entry(const std::string& name, const std::string& at, const std::string& status) {
+    return R"({"name":")" + name + R"(","address":")" + at +
+           R"(:3868","zone":"h","type":"std","group":0,"status":")" + status +
+           R"(","weight":1,"since_ms":0})";
+  }
+  static std::string event(int number, bool snapshot, const std::string& entries) {
+    return R"({"cursor":)" + std::to_string(number) + R"(,"nodes":{"snapshot":)" +
+           (snapshot ? "true" : "false") + R"(,"endpoints":[)" + entries + "]}}\n";
+  }
+
   // Answers DrainInput with InputDrained, as the runtime does. A test may clear auto_drain to control which
   // events arrive before that.
   void deliver(const IoEvent& event) {
