Tell by the list which process a server's name and address belong to

Cause: whatever answered at an address was a sign of the server that was dialled there. A server told gone plays on while it is connected, and the connection led to the new process; the first start told under a name counted for nothing, as only a start later than one told before did, in the module too.

Change: src/platform/processes decides from the list, in any order, which process has a name and an address, and what has ended by that; the time at which a connection came up tells which process it leads to. Playbacks, answers, loads, probes, unsent set-ups, dials and queued releases of an ended process are handled as its own. A start later than a server's first listing is a restart for the module.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -424,6 +424,7 @@
   auto& connection = found->second;
   auto& server = servers_[connection.server];
   connection.established = true;
+  connection.established_at = now_;
   connection.last_heard_at = connection.last_used_at = now_;
   record_server_activity(connection);
   if (server.pending_dial == event.connection)
@@ -433,8 +434,8 @@
       old->second.retired_at = now_;
   }
   server.connection = event.connection;
-  for (auto& bytes : server.queued_releases)
-    send_to_server(event.connection, std::move(bytes));
+  for (auto& release : server.queued_releases)
+    send_to_server(event.connection, std::move(release.bytes));
   server.queued_releases.clear();
   for (const auto id : server.playing) {
     auto& playback = playbacks_.at(id);
@@ -716,7 +717,7 @@
   const auto& playback = playbacks_.at(id);
   if (playback.state != Playback::State::playing)
     return cancel_request(id);
-  send_or_queue_release(playback.server, release_bytes(call, cause::ended));
+  send_or_queue_release(playback.server, {release_bytes(call, cause::ended), playback.path});
   end_playback(id, Outcome::cancelled, {}, std::nullopt);
 }
 
@@ -768,14 +769,15 @@
   auto& server = servers_[id];
   if (server.pending_dial)
     return server.pending_dial;
-  if (server.endpoint.port == 0 || !reserve_server_connection(for_try))
+  if (!processes_.endpoint(id) || !reserve_server_connection(for_try))
     return 0;
   const auto connection_id = next_connection_id_++;
   auto& connection = server_connections_[connection_id];
   connection.server = id;
   connection.last_heard_at = connection.last_used_at = now_;
   server.pending_dial = connection_id;
-  actions_->push_back(Dial{connection_id, server.endpoint.address, server.endpoint.port});
+  const auto& endpoint = *processes_.endpoint(id);
+  actions_->push_back(Dial{connection_id, endpoint.address, endpoint.port});
   start_timer(config_.dial_timeout, TimerKind::dial_timeout, connection_id);
   return connection_id;
 }
@@ -824,16 +826,18 @@
   actions_->push_back(Send{connection, std::move(bytes)});
 }
 
-void Platform::send_or_queue_release(ServerId id, std::string bytes) {
+void Platform::send_or_queue_release(ServerId id, QueuedRelease release) {
   auto& server = servers_[id];
   if (server.connection)
-    return send_to_server(server.connection, std::move(bytes));
+    return send_to_server(server.connection, std::move(release.bytes));
   if (server.queued_releases.size() < max_queued_messages)
-    server.queued_releases.push_back(std::move(bytes));
+    server.queued_releases.push_back(std::move(release));
   request_liveness_check(id);
 }
 
 void Platform::record_server_activity(ServerConnection& connection) {
+  if (connection.process_ended)
+    return;  // says nothing of the process that followed
   auto& server = servers_[connection.server];
   server.last_heard_at = now_;
   server.consecutive_dial_refusals = 0;
@@ -854,21 +858,22 @@
   // no connection is open; the connections of a process that dies are reset.
   const bool refused = server.consecutive_dial_refusals >= dial_refusals_until_lost &&
                        now_ - server.first_dial_refusal_at >= redial_interval / 2 && !has_connection_to(id);
-  const bool replaced =
-      server.state == ServerState::gone && server.endpoint.port != 0 && !has_connection_to(id);
-  if (silence_timed_out || refused || replaced)
+  const bool removed = processes_.state(id) == ServerState::gone && processes_.endpoint(id) != nullptr &&
+                       !has_connection_to(id);
+  if (silence_timed_out || refused || removed)
     return end_all_playbacks(id, silence_timed_out ? "no sign" : refused ? "refused" : "gone");
   if (server.pending_dial || now_ < server.next_dial_at)
     return;
   server.next_dial_at = now_ + redial_interval;
-  if (dial(id, false) == 0 && server.endpoint.port != 0)
+  if (dial(id, false) == 0 && processes_.endpoint(id))
     record_local_dial_failure(id);
 }
 
-// Includes retired connections, on which the server still reports.
+// Includes retired connections, on which the server still reports, but none to a process that has ended.
 bool Platform::has_connection_to(ServerId id) const {
   return std::any_of(server_connections_.begin(), server_connections_.end(), [&](const auto& connection) {
-    return connection.second.server == id && connection.second.established;
+    return connection.second.server == id && connection.second.established &&
+           !connection.second.process_ended;
   });
 }
 
@@ -888,16 +893,20 @@
 
 void Platform::end_all_playbacks(ServerId id, const char* cause) {
   auto& server = servers_[id];
+  server.queued_releases.clear();
+  server.consecutive_dial_refusals = 0;
+  end_playbacks(id, std::set(server.playing), cause);
+}
+
+void Platform::end_playbacks(ServerId id, const std::set<PlaybackId>& ended, const char* cause) {
+  const auto& server = servers_[id];
   log("cut", {{"server", server.name},
               {"cause", cause},
-              {"playbacks", static_cast<std::int64_t>(server.playing.size())},
+              {"playbacks", static_cast<std::int64_t>(ended.size())},
               {"connected", static_cast<std::int64_t>(server.connection != 0)},
               {"silent_ms", to_milliseconds(now_ - server.last_heard_at)}});
-  server.queued_releases.clear();
-  server.consecutive_dial_refusals = 0;
-  const auto playing = server.playing;
-  for (const auto id : playing)
-    end_playback(id, Outcome::reset, {}, cause::reset);
+  for (const auto playback : ended)
+    end_playback(playback, Outcome::reset, {}, cause::reset);
 }
 
 void Platform::drop_server_connection(ConnectionId connection_id, Outcome outcome_if_sent,
@@ -947,6 +956,8 @@
     return;
   auto& playback = playbacks_.at(known->second);
   if (message.kind == ServerMessage::Kind::note) {
+    if (connection.process_ended)
+      return;
     Measurement measurement;
     measurement.playback = known->second;
     measurement.server = id;
@@ -969,8 +980,12 @@
     return;
   if (playback.state != Playback::State::trying || playback.connection != connection_id || !playback.sent)
     return;
+  // The session ended with its process, or belongs to a server of another name: it has to be set up anew.
+  if (connection.process_ended)
+    return end_try(known->second, Outcome::reset, {}, false);
   connection.tries.erase(known->second);
   playback.state = Playback::State::playing;
+  playback.path = {connection_id, connection.established_at};
   playback.connection = 0;
   wheel_.cancel(playback.try_timer);
   servers_[id].playing.insert(known->second);
@@ -997,7 +1012,8 @@
   auto& playback = playbacks_.at(known->second);
   if (playback.server != id)
     return;
-  const auto load = message.load ? read_load_report(*message.load) : LoadReport{};
+  const bool believed = message.load && !server_connections_.at(connection_id).process_ended;
+  const auto load = believed ? read_load_report(*message.load) : LoadReport{};
   const int cause = *message.cause;
   if (playback.state == Playback::State::trying && playback.connection == connection_id && playback.sent) {
     server_connections_.at(connection_id).tries.erase(known->second);
@@ -1074,7 +1090,7 @@
   playback->try_started_at = now_;
   playback->try_deadline = now_ + command.time_limit;
   playback->connection = connection_for(command.server);
-  if (playback->connection == 0 && servers_[command.server].endpoint.port == 0)
+  if (playback->connection == 0 && !processes_.endpoint(command.server))
     return end_try(command.playback, Outcome::no_connection, {}, false);
   // Without a free descriptor the try waits as long as for a dial: if it ended at once, it would be retried
   // at once.
@@ -1188,105 +1204,185 @@
     remove_playback(id);
     send_to_viewer(viewer, end_line(call, cause, to_milliseconds(retry_after)));
   };
-  std::visit(Overloaded{
-                 [&](const SetUp& o) { start_try(o); },
-                 [&](const SetRung& set_rung) {
-                   auto* playback = find_playback(set_rung.playback);
-                   if (!playback)
-                     return;
-                   playback->rung = set_rung.rung;
-                   if (playback->state != Playback::State::playing)
-                     return;
-                   const auto connection = servers_[playback->server].connection;
-                   playback->rung_unsent = connection == 0;
-                   if (connection)
-                     send_to_server(connection, rung_bytes(playback->call, set_rung.rung));
-                 },
-                 [&](const Reject& o) { final_answer(o.playback, cause::rejected, o.retry_after); },
-                 [&](const Abort& o) { final_answer(o.playback, cause::reset, Duration(0)); },
-                 [&](const Probe& probe) {
-                   const auto connection_id = connection_for(probe.server);
-                   if (connection_id == 0)
-                     return process_event(
-                         ProbeEnded{probe.server, false, {}, servers_[probe.server].endpoint.port == 0});
-                   const auto probe_call = next_probe_call_++;
-                   auto& connection = server_connections_.at(connection_id);
-                   connection.probes.insert(probe_call);
-                   start_timer(config_.dial_timeout, TimerKind::probe_timeout,
-                               probe_call & ((std::uint64_t{1} << timer_kind_shift) - 1));
-                   if (connection.established)
-                     send_to_server(connection_id, test_bytes(probe_call));
-                 },
-                 [&](const SetTimer& o) { start_timer(o.delay, TimerKind::decider, o.token); },
-                 [&](const SubscribeServerList&) {},  // the command channel is always followed
-             },
-             command);
+  std::visit(
+      Overloaded{
+          [&](const SetUp& o) { start_try(o); },
+          [&](const SetRung& set_rung) {
+            auto* playback = find_playback(set_rung.playback);
+            if (!playback)
+              return;
+            playback->rung = set_rung.rung;
+            if (playback->state != Playback::State::playing)
+              return;
+            const auto connection = servers_[playback->server].connection;
+            playback->rung_unsent = connection == 0;
+            if (connection)
+              send_to_server(connection, rung_bytes(playback->call, set_rung.rung));
+          },
+          [&](const Reject& o) { final_answer(o.playback, cause::rejected, o.retry_after); },
+          [&](const Abort& o) { final_answer(o.playback, cause::reset, Duration(0)); },
+          [&](const Probe& probe) {
+            const auto connection_id = connection_for(probe.server);
+            if (connection_id == 0)
+              return process_event(ProbeEnded{probe.server, false, {}, !processes_.endpoint(probe.server)});
+            const auto probe_call = next_probe_call_++;
+            auto& connection = server_connections_.at(connection_id);
+            connection.probes.insert(probe_call);
+            start_timer(config_.dial_timeout, TimerKind::probe_timeout,
+                        probe_call & ((std::uint64_t{1} << timer_kind_shift) - 1));
+            if (connection.established)
+              send_to_server(connection_id, test_bytes(probe_call));
+          },
+          [&](const SetTimer& o) { start_timer(o.delay, TimerKind::decider, o.token); },
+          [&](const SubscribeServerList&) {},  // the command channel is always followed
+      },
+      command);
 }
 
 // ---- server list and command channel ----
 
 void Platform::apply_server_lists(const std::vector<ServerListUpdate>& updates, bool at_start) {
-  for (const auto& update : updates) {
-    ServerList list;
-    list.kind = !update.snapshot ? ServerList::Kind::changes
-                : at_start       ? ServerList::Kind::cached
-                                 : ServerList::Kind::complete;
-    if (update.snapshot) {
-      for (auto& server : servers_)
-        server.state = ServerState::gone;
-    }
-    std::vector<ConnectionId> stale_dials;
-    for (const auto& listed : update.servers) {
-      const auto id = server_id(listed.name);
-      auto& server = servers_[id];
-      const bool restarted = listed.started_ms > server.started_ms && server.started_ms != 0;
-      const bool moved =
-          listed.endpoint.port != 0 && server.endpoint.port != 0 && listed.endpoint != server.endpoint;
-      server.state = listed.state;
-      if (listed.endpoint.port != 0)
-        server.endpoint = listed.endpoint;
-      if (listed.started_ms != 0)
-        server.started_ms = listed.started_ms;
-      if ((restarted || moved) && server.connection)
-        retire(server.connection);  // its process has ended
-      if ((restarted || moved) && server.pending_dial)
-        stale_dials.push_back(server.pending_dial);
-      ServerEntry entry;
-      entry.server = id;
-      entry.state = listed.state;
-      entry.kind = index_in(config_.kinds, listed.kind);
-      entry.cell = listed.cell;
-      entry.hall = index_in(config_.halls, listed.hall);
-      entry.weight = listed.weight;
-      if (listed.started_ms != 0)
-        entry.started = Duration(listed.started_ms * 1000) - config_.wall_clock_offset;
-      list.entries.push_back(entry);
-      if (restarted)
-        end_all_playbacks(id, "started anew");
-    }
-    process_event(list);
-    // Guards against a pending dial to the old address being taken for a connection to the new process.
-    for (const auto connection : stale_dials) {
-      drop_server_connection(connection, Outcome::not_sent, Outcome::not_sent);
-      actions_->push_back(Close{connection, false});
-    }
+  for (const auto& update : updates)
+    apply_server_list(update, at_start);
+  // Guards against sending a try that waited for its connection or for pending input to a server that
+  // meanwhile drains or is gone.
+  cancel_tries(unsent_tries([this](ConnectionId, const ServerConnection& connection) {
+    return processes_.state(connection.server) != ServerState::ready || connection.retired_at;
+  }));
+}
+
+void Platform::apply_server_list(const ServerListUpdate& update, bool at_start) {
+  ServerList list;
+  list.kind = !update.snapshot ? ServerList::Kind::changes
+              : at_start       ? ServerList::Kind::cached
+                               : ServerList::Kind::complete;
+  std::vector<ServerId> ids;
+  for (const auto& listed : update.servers)
+    ids.push_back(server_id(listed.name));
+  const auto ends = processes_.apply(update, ids);
+  std::set<ServerId> ended;
+  for (const auto& end : ends)
+    ended.insert(end.server);
+  for (std::size_t i = 0; i < ids.size(); ++i)
+    servers_[ids[i]].entry = server_entry(ids[i], update.servers[i]);
+  auto changed = ids;  // and those that lost their address to one of them
+  std::copy_if(ended.begin(), ended.end(), std::back_inserter(changed),
+               [&](ServerId id) { return std::find(ids.begin(), ids.end(), id) == ids.end(); });
+  for (const auto id : changed) {
+    servers_[id].entry.state = processes_.state(id);
+    list.entries.push_back(servers_[id].entry);
+  }
+  for (const auto& end : ends)
+    end_process(end);
+  process_event(list);
+  for (const auto id : ended)
+    take_back_from_ended_process(id);
+}
+
+ServerEntry Platform::server_entry(ServerId id, const ListedServer& listed) const {
+  ServerEntry entry;
+  entry.server = id;
+  entry.state = listed.state;
+  entry.kind = index_in(config_.kinds, listed.kind);
+  entry.cell = listed.cell;
+  entry.hall = index_in(config_.halls, listed.hall);
+  entry.weight = listed.weight;
+  if (listed.started_ms != 0)
+    entry.started = Duration(listed.started_ms * 1000) - config_.wall_clock_offset;
+  return entry;
+}
+
+// Connections from then on lead to the successor.
+Duration Platform::successor_started_at(const ProcessEnd& end) const {
+  if (!end.successor_started_ms)
+    return Duration::max();
+  return Duration(*end.successor_started_ms * 1000) - config_.wall_clock_offset;
+}
+
+// Guards against taking connections to the process that followed for signs of the one that has ended: its
+// sessions have ended with it, and their viewers are owed a report.
+void Platform::end_process(const ProcessEnd& end) {
+  const auto successor_started = successor_started_at(end);
+  for (auto& [connection_id, connection] : server_connections_) {
+    if (connection.server != end.server || !connection.established)
+      continue;
+    if (end.successor == end.server && connection.established_at >= successor_started)
+      continue;  // leads to the new process
+    retire(connection_id);
+    connection.process_ended = true;
   }
-  cancel_unsent_tries();
+  end_playbacks_of_process(end, successor_started);
 }
 
-// Guards against sending a try that waited for its connection or for pending input to a server that meanwhile
-// drains or is gone, or to its previous process.
-void Platform::cancel_unsent_tries() {
+// A playback of a server that started anew goes on if it was set up at the new process, before the list told
+// of it: the connection that it was set up on leads there.
+void Platform::end_playbacks_of_process(const ProcessEnd& end, Duration successor_started) {
+  auto& server = servers_[end.server];
+  const auto may_run_at_successor = [&](const SetUpPath& path) {
+    return !path.established_at || *path.established_at >= successor_started;
+  };
+  auto queued = std::exchange(server.queued_releases, {});
+  std::set<PlaybackId> ended;
+  for (const auto id : server.playing) {
+    const auto& playback = playbacks_.at(id);
+    const auto connection = server_connections_.find(playback.path.connection);
+    const bool connected = connection != server_connections_.end();
+    if (connected && !connection->second.process_ended)
+      continue;
+    ended.insert(id);
+    auto bytes = release_bytes(playback.call, cause::ended);
+    if (connected)
+      send_to_server(connection->first, std::move(bytes));
+    else
+      queued.push_back({std::move(bytes), playback.path});
+  }
+  server.consecutive_dial_refusals = 0;
+  if (!ended.empty())
+    end_playbacks(end.server, ended, end.successor == end.server ? "started anew" : "replaced");
+  auto& successor = servers_[end.successor];
+  if (successor.playing.empty())
+    successor.last_heard_at = now_;  // its silence counts from now
+  for (auto& release : queued) {
+    if (may_run_at_successor(release.path))
+      send_or_queue_release(end.successor, std::move(release));
+  }
+}
+
+// Takes back what was to be sent to the server before its new process was known: tries keep to the pace of
+// the new one, a dial may lead to either, and probes at the old one say nothing of the new one.
+void Platform::take_back_from_ended_process(ServerId id) {
+  const auto dial = servers_[id].pending_dial;
+  std::size_t probes = 0;
+  for (auto& [connection_id, connection] : server_connections_) {
+    if (connection.server == id && connection.process_ended)
+      probes += std::exchange(connection.probes, {}).size();
+  }
+  const auto unsent = unsent_tries([&](ConnectionId connection_id, const ServerConnection& connection) {
+    return connection.server == id && connection_id != dial;
+  });
+  if (server_connections_.contains(dial)) {
+    drop_server_connection(dial, Outcome::not_sent, Outcome::not_sent);
+    actions_->push_back(Close{dial, false});
+  }
+  cancel_tries(unsent);
+  for (std::size_t i = 0; i < probes; ++i)
+    process_event(ProbeEnded{id, false, {}, false});
+}
+
+std::vector<PlaybackId> Platform::unsent_tries(
+    const std::function<bool(ConnectionId, const ServerConnection&)>& concerned) const {
   std::vector<PlaybackId> unsent;
   for (const auto& [connection_id, connection] : server_connections_) {
-    if (servers_[connection.server].state == ServerState::ready && !connection.retired_at)
+    if (!concerned(connection_id, connection))
       continue;
-    for (const auto id : connection.tries) {
-      if (!playbacks_.at(id).sent)
-        unsent.push_back(id);
-    }
+    std::copy_if(connection.tries.begin(), connection.tries.end(), std::back_inserter(unsent),
+                 [&](PlaybackId id) { return !playbacks_.at(id).sent; });
   }
   std::sort(unsent.begin(), unsent.end());
+  return unsent;
+}
+
+void Platform::cancel_tries(const std::vector<PlaybackId>& unsent) {
   for (const auto id : unsent) {
     const auto* playback = find_playback(id);
     if (playback && playback->state == Playback::State::trying && !playback->sent)
@@ -1295,11 +1391,7 @@
 }
 
 // The readiness of this process. Guards against routing viewers to a process that can't serve them.
-bool Platform::is_ready() const {
-  return !shutdown_requested_at_ && std::any_of(servers_.begin(), servers_.end(), [](const auto& server) {
-    return server.state == ServerState::ready;
-  });
-}
+bool Platform::is_ready() const { return !shutdown_requested_at_ && processes_.has_ready_server(); }
 
 void Platform::poll_channel() {
   for (int turn = 0; turn < 3; ++turn) {
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -16,6 +17,7 @@
 #include "decider/decider.h"
 #include "io/io.h"
 #include "platform/channel/channel.h"
+#include "platform/processes/server_processes.h"
 #include "platform/start.h"
 #include "platform/wire/server.h"
 #include "platform/wire/viewer.h"
@@ -57,22 +59,31 @@
     ServerId server = 0;
     ServerReader reader;
     bool established = false;
+    Duration established_at{0};
     Duration last_heard_at{0};
     std::optional<Duration> retired_at;  // carries no new set-ups from then on
+    bool process_ended = false;          // leads to a process that the server has no more
     std::set<PlaybackId> tries;          // sent, or waiting for the connection
     std::set<CallId> probes;
     Duration last_used_at{0};  // the last bytes in either direction
   };
+  // The connection that a playback was set up on, which leads to its process.
+  struct SetUpPath {
+    ConnectionId connection = 0;
+    std::optional<Duration> established_at;  // empty: not known, as the playback was handed over
+  };
+  struct QueuedRelease {
+    std::string bytes;
+    SetUpPath path;
+  };
   // A video server of the list, or one that a viewer named for a playback that already plays.
   struct VideoServer {
     std::string name;
-    Endpoint endpoint;
-    ServerState state = ServerState::gone;
-    std::int64_t started_ms = 0;
+    ServerEntry entry;              // as last told by the list
     ConnectionId connection = 0;    // the one for new set-ups; 0: none
     ConnectionId pending_dial = 0;  // 0: none
     std::set<PlaybackId> playing;
-    std::vector<std::string> queued_releases;  // to be sent on the next connection
+    std::vector<QueuedRelease> queued_releases;  // to be sent on the next connection
     Duration last_heard_at{0};
     Duration next_dial_at{0};
     int consecutive_dial_refusals = 0;  // of dials, since the server was last heard
@@ -92,6 +103,7 @@
     bool sent = false;
     Duration try_started_at{0};
     Duration try_deadline{0};
+    SetUpPath path;
     int rung = 0;
     bool rung_unsent = false;  // waits for the next connection to the server
     TimerWheel<std::uint64_t>::Handle try_timer;
@@ -170,10 +182,11 @@
   void send_after_input_drained(PlaybackId id);
   void send_try(Playback& playback);
   void send_to_server(ConnectionId connection, std::string bytes);
-  void send_or_queue_release(ServerId id, std::string bytes);
+  void send_or_queue_release(ServerId id, QueuedRelease release);
   void request_liveness_check(ServerId id);
   void check_server_liveness(ServerId id);
   void end_all_playbacks(ServerId id, const char* cause);
+  void end_playbacks(ServerId id, const std::set<PlaybackId>& ended, const char* cause);
   void record_server_activity(ServerConnection& connection);
 
   // ---- playbacks ----
@@ -191,7 +204,15 @@
 
   // ---- server list and command channel ----
   void apply_server_lists(const std::vector<ServerListUpdate>& updates, bool at_start);
-  void cancel_unsent_tries();
+  void apply_server_list(const ServerListUpdate& update, bool at_start);
+  ServerEntry server_entry(ServerId id, const ListedServer& listed) const;
+  void end_process(const ProcessEnd& end);
+  void end_playbacks_of_process(const ProcessEnd& end, Duration successor_started);
+  void take_back_from_ended_process(ServerId id);
+  Duration successor_started_at(const ProcessEnd& end) const;
+  std::vector<PlaybackId> unsent_tries(
+      const std::function<bool(ConnectionId, const ServerConnection&)>& concerned) const;
+  void cancel_tries(const std::vector<PlaybackId>& unsent);
   bool is_ready() const;
   void poll_channel();
 
@@ -236,6 +257,7 @@
   std::unordered_map<ConnectionId, ServerConnection> server_connections_;
   ConnectionId next_connection_id_ = 1;
   std::deque<VideoServer> servers_;
+  ServerProcesses processes_;
   std::map<std::string, ServerId> server_ids_;
   std::unordered_map<PlaybackId, Playback> playbacks_;
   std::unordered_map<CallId, PlaybackId> playbacks_by_call_;
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -211,6 +211,7 @@
 // What this front knows of a video server, and what it has there.
 struct Server {
   bool listed = false;
+  Duration listed_at{0};  // for the first time
   ServerState state = ServerState::gone;
   int kind = 0;
   int cell = 0;
@@ -468,8 +469,10 @@
 
   void apply_entry(const ServerEntry& entry) {
     auto& server = server_at(entry.server);
-    // An older start time than the known one comes from a delayed list and does not replace it.
-    const bool restarted = server.started && entry.started && *entry.started > *server.started;
+    // An older start time than the known one comes from a delayed list and does not replace it. A process
+    // whose start was not told started before it was listed.
+    const bool restarted =
+        server.listed && entry.started && *entry.started > server.started.value_or(server.listed_at);
     server.kind = entry.kind;
     server.cell = entry.cell;
     server.hall = entry.hall;
@@ -480,8 +483,10 @@
       reset_after_restart(server);
     if (server.started)
       server.cold_since = std::max(server.cold_since.value_or(*server.started), *server.started);
-    if (!server.listed)
+    if (!server.listed) {
       server.window.reset(std::max(1.0, stream_capacity(server) - server.own_playbacks), now_);
+      server.listed_at = now_;
+    }
     server.listed = true;
   }
 
