--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -150,8 +150,10 @@
   void on_timer(const ExpiredTimer& timer);
   void run_deferred_work();
   void sweep();
+  void check_shutdown();
 
   // ---- viewers ----
+  void sweep_viewers();
   void on_viewer_message(ConnectionId connection, ViewerConnection& viewer, ViewerMessage& message);
   void handle_offer(ConnectionId connection, ViewerConnection& viewer, ViewerMessage& message);
   std::optional<std::string> parse_offer(const ViewerMessage& message, Request& request,
@@ -167,6 +169,7 @@
   void close_overflowed_viewer(ConnectionId connection);
 
   // ---- servers ----
+  void sweep_servers();
   ServerId server_id(const std::string& name);
   ConnectionId dial(ServerId id, bool for_try);
   ConnectionId connection_for(ServerId id);
--- /dev/null
+++ b/src/platform/platform_internal.h
@@ -0,0 +1,15 @@
+// Limits and helpers that several source files of the platform's session manager use; none but these include
+// it.
+#pragma once
+
+#include "platform/platform.h"
+
+namespace violettide::platform {
+
+// A longer delay of timers means that this process was stalled.
+inline constexpr Duration stall_threshold{60'000};
+inline constexpr std::size_t max_queued_messages = 4096;
+
+inline std::int64_t to_milliseconds(Duration span) { return span.count() / 1000; }
+
+}  // namespace violettide::platform
