End playbacks handed over at a server that the list has removed, whatever its address

Cause: "gone and nothing connected" also asked for a known address. A server that was told gone without one, or whose address a later server has, was waited for 5.5 s, which leaves too little of the 8 s after a hand-over.

--- a/src/platform/platform_servers.cpp
+++ b/src/platform/platform_servers.cpp
@@ -184,8 +184,7 @@
   // no connection is open; the connections of a process that dies are reset.
   const bool refused = server.consecutive_dial_refusals >= dial_refusals_until_lost &&
                        now_ - server.first_dial_refusal_at >= redial_interval / 2 && !has_connection_to(id);
-  const bool removed = processes_.state(id) == ServerState::gone && processes_.endpoint(id) != nullptr &&
-                       !has_connection_to(id);
+  const bool removed = processes_.is_removed(id) && !has_connection_to(id);
   if (silence_timed_out || refused || removed)
     return end_all_playbacks(id, silence_timed_out ? "no sign" : refused ? "refused" : "gone");
   if (server.pending_dial || now_ < server.next_dial_at)
--- a/src/platform/processes/server_processes.cpp
+++ b/src/platform/processes/server_processes.cpp
@@ -14,6 +14,10 @@
   return id < processes_.size() ? processes_[id].state : ServerState::gone;
 }
 
+bool ServerProcesses::is_removed(ServerId id) const {
+  return id < processes_.size() && processes_[id].listed && processes_[id].state == ServerState::gone;
+}
+
 const Endpoint* ServerProcesses::endpoint(ServerId id) const {
   if (id >= processes_.size() || processes_[id].endpoint.port == 0)
     return nullptr;
--- a/src/platform/processes/server_processes.h
+++ b/src/platform/processes/server_processes.h
@@ -31,6 +31,8 @@
 
   // A server whose address has passed to another one counts as gone, whatever the list calls it.
   ServerState state(ServerId id) const;
+  // Whether the list has told that the server is gone, or has passed its address to another one.
+  bool is_removed(ServerId id) const;
   // Where the current process listens; null: not known, or passed to another server.
   const Endpoint* endpoint(ServerId id) const;
   bool has_ready_server() const;
--- a/tests/program/platform_replacement_test.cpp
+++ b/tests/program/platform_replacement_test.cpp
@@ -183,6 +183,20 @@
   EXPECT_EQ(last_told_state(server_c), ServerState::ready);
 }
 
+// Guards against waiting for a sign of a server that has no address any more: a manager that starts anew is
+// handed a playback whose server has been replaced meanwhile.
+TEST_F(PlatformReplacementTest, APlaybackHandedOverAtAReplacedServerEndsAtOnce) {
+  started_ms = now / 1ms;
+  tell(old_server("Gone") + "," + new_server());
+  accept_viewer();
+  receive(viewer, offer(call, "4294967", "", "home:0;copies:2;top:1;at:s-a"));
+  EXPECT_EQ(take_sent(viewer), end_line(call_id, 41));
+  tell(R"({"name":"s-d","status":"Gone"})");  // a server that is gone needs no address
+  receive(viewer, offer("00000000000000aa", "4294967", "", "home:0;copies:2;top:1;at:s-d"));
+  EXPECT_EQ(take_sent(viewer), end_line(0xaa, 41));
+  EXPECT_EQ(core->resource_counts().playbacks, 0u);
+}
+
 // Until the list tells of a new process, a connection that was reset may have led to the one that plays on.
 TEST_F(PlatformReplacementTest, AServerToldGoneGoesOnWhileItIsConnected) {
   const auto connection = start_playing();
--- a/tests/program/server_processes_test.cpp
+++ b/tests/program/server_processes_test.cpp
@@ -32,6 +32,9 @@
   EXPECT_EQ(processes.state(other_server), ServerState::gone);
   EXPECT_EQ(processes.endpoint(other_server), nullptr);
   EXPECT_FALSE(processes.has_ready_server());
+  EXPECT_FALSE(processes.is_removed(other_server));
+  tell(other_server, entry(ServerState::gone, {}));
+  EXPECT_TRUE(processes.is_removed(other_server));
 }
 
 // The end of the old server and the start of the new one, each told once or again, in each order, in events
