--- a/src/platform/platform_list.cpp
+++ b/src/platform/platform_list.cpp
@@ -58,7 +58,7 @@
 ServerEntry Platform::server_entry(ServerId id, const ListedServer& listed) const {
   ServerEntry entry;
   entry.server = id;
-  entry.state = listed.state;
+  entry.state = processes_.state(id);
   entry.kind = index_in(config_.kinds, listed.kind);
   entry.cell = listed.cell;
   entry.hall = index_in(config_.halls, listed.hall);
--- a/tests/program/platform_replacement_test.cpp
+++ b/tests/program/platform_replacement_test.cpp
@@ -11,8 +11,10 @@
 
 class PlatformReplacementTest : public PlatformFixture {
  protected:
-  PlatformReplacementTest() {
+  PlatformReplacementTest() { start_core(); }
+  void start_core() {
     now = 10s;
+    last_event = 1;
     make_core(256);
     deliver(Connected{channel_connection});
     actions.clear();
@@ -76,10 +78,7 @@
     bool snapshot;
   };
   for (const auto order : {0, 1, 2, 3, 4, 5, 6}) {
-    now = 10s;
-    last_event = 1;
-    make_core(256);
-    deliver(Connected{channel_connection});
+    start_core();
     replace_process();
     const std::vector<Telling> tellings{
         {"one event, the old one first", {old_server("Gone") + "," + new_server()}, false},
@@ -213,10 +212,7 @@
 TEST_F(PlatformReplacementTest, AnAnswerOfTheEndedProcessCountsAsReset) {
   for (const bool same_name : {true, false}) {
     SCOPED_TRACE(same_name);
-    now = 10s;
-    last_event = 1;
-    make_core(256);
-    deliver(Connected{channel_connection});
+    start_core();
     const auto old = start_playing();
     set_up("00000000000000aa", server_a);
     take_sent(old);
@@ -239,10 +235,7 @@
 TEST_F(PlatformReplacementTest, SetUpsThatAreNotSentYetAreTakenBackFromANewProcess) {
   for (const bool same_name : {true, false}) {
     SCOPED_TRACE(same_name);
-    now = 10s;
-    last_event = 1;
-    make_core(256);
-    deliver(Connected{channel_connection});
+    start_core();
     const auto connection = replace_process();
     auto_drain = false;
     set_up("00000000000000aa", server_a);
@@ -300,10 +293,7 @@
 TEST_F(PlatformReplacementTest, QueuedReleasesGoToTheProcessThatHasTheSession) {
   for (const bool same_name : {true, false}) {
     SCOPED_TRACE(same_name);
-    now = 10s;
-    last_event = 1;
-    make_core(256);
-    deliver(Connected{channel_connection});
+    start_core();
     const auto connection = replace_process();
     set_up("00000000000000aa", server_a);
     receive(connection, accept(0xaa));
@@ -351,8 +341,7 @@
 
 // ---- the slow start of the new process ----
 
-// The policy itself decides: what it knows of the old process does not count for the new one, whose pace is
-// slow.
+// The start is what the pace of the new process counts from (scenario rule_cold_pace_restart).
 TEST_F(PlatformReplacementTest, TheDeciderLearnsOfTheStartWithTheEntry) {
   replace_process();
   tell(restarted_server());
--- a/tests/program/platform_soak_test.cpp
+++ b/tests/program/platform_soak_test.cpp
@@ -8,7 +8,6 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
-#include <queue>
 #include <random>
 
 #include "platform/platform.h"
@@ -136,7 +135,7 @@
            Duration(static_cast<std::int64_t>(random_() % static_cast<unsigned>((most - least).count() + 1)));
   }
   void after(Duration delay, std::function<void()> action) {
-    agenda_.emplace(now_ + delay, std::move(action));
+    scheduled_.emplace(now_ + delay, std::move(action));
   }
   void fail(const std::string& what, CallId call) {
     if (fault_.empty())
@@ -145,9 +144,9 @@
 
   // ---- the clock and the core ----
   void pass(Duration time) {
-    for (now_ += time; !agenda_.empty() && agenda_.begin()->first <= now_;) {
-      const auto action = std::move(agenda_.begin()->second);
-      agenda_.erase(agenda_.begin());
+    for (now_ += time; !scheduled_.empty() && scheduled_.begin()->first <= now_;) {
+      const auto action = std::move(scheduled_.begin()->second);
+      scheduled_.erase(scheduled_.begin());
       action();
     }
     if (now_ >= next_heartbeat_ && channel_ != 0) {
@@ -309,7 +308,7 @@
     deliver(Accepted{connection, 0});
     return connection;
   }
-  std::optional<ConnectionId> any_viewer() {
+  ConnectionId any_viewer() {
     std::vector<ConnectionId> open;
     for (const auto& [connection, viewer] : viewers_) {
       if (viewer.open && viewer.reads)
@@ -320,7 +319,7 @@
     return open[static_cast<std::size_t>(draw(static_cast<int>(open.size())))];
   }
   void offer() {
-    const auto connection = *any_viewer();
+    const auto connection = any_viewer();
     const auto call = CallId{random_()} << 32 | random_();
     sessions_[call] = {connection, now_, false, false, false, false, std::nullopt};
     const auto line = R"({"op":"offer","call":")" + hex(call) +
@@ -332,7 +331,7 @@
     auto& session = sessions_[call];
     session.ended_by_viewer = true;
     deliver(
-        Received{*any_viewer(), R"({"op":"end","call":")" + hex(call) + R"(","with":{},"why":16})" + "\n"});
+        Received{any_viewer(), R"({"op":"end","call":")" + hex(call) + R"(","with":{},"why":16})" + "\n"});
   }
   void leave(ConnectionId connection) {
     viewers_[connection].open = false;
@@ -394,9 +393,9 @@
     if (happens(40))
       end_some_session();
     if (happens(3))
-      leave(*any_viewer());
+      leave(any_viewer());
     if (happens(1))
-      flood(*any_viewer());
+      flood(any_viewer());
     check_sessions();
   }
   void reset_a_connection() {
@@ -458,7 +457,7 @@
 
   std::mt19937 random_;
   Duration now_{0};
-  std::multimap<Duration, std::function<void()>> agenda_;
+  std::multimap<Duration, std::function<void()>> scheduled_;
   std::unique_ptr<Platform> core_;
   std::deque<Process> processes_;
   std::vector<Place> places_;
