--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -23,7 +23,7 @@
 def address(last):
     """A loopback address that belongs to this process."""
     pid = os.getpid()
-    return f"127.{64 + (pid >> 14 & 127)}.{pid >> 7 & 127}.{(pid & 1) * 120 + last}"
+    return f"127.{64 + (pid >> 8 & 127)}.{pid & 255}.{last}"
 
 
 class Record:
