End the review cases' processes also when a script is ended from outside

Need: a script of the second review that is ended by SIGTERM or SIGKILL could leave its session manager running.

Change: what a case starts is killed by the kernel when the case ends (PR_SET_PDEATHSIG).

--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -1,6 +1,7 @@
 """Stand-ins for the cases of the second review: a command channel, video servers, clients and the start of
 session managers, by the protocol page. All of them listen on loopback addresses of this process alone."""
 import asyncio
+import ctypes
 import json
 import os
 import resource
@@ -20,6 +21,11 @@
     129, 132, 141, 150, 156, 162, 165, 171, 174)
 
 
+def end_with_parent():
+    """In a process that a case starts: it is killed when the case ends, however that ends."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG; an exec keeps it
+
+
 def address(last):
     """A loopback address that belongs to this process."""
     pid = os.getpid()
@@ -445,7 +451,7 @@
         log = open(os.path.join(folder, "log"), "w")
         process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", run, cwd=ROOT, env=environment, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)))
+            preexec_fn=lambda: (end_with_parent(), resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))))
         manager = type("Manager", (), {})()
         manager.host, manager.port, manager.process, manager.name = host, port, process, name
         manager.config, manager.path, manager.log = config, path, os.path.join(folder, "log")
