Hear a release that crosses the close of its server's connection

A server sends a release on an open connection; the session manager closed that connection meanwhile (quiet, replaced, or to make room) and discarded what still came on it, so the viewer was told only when the server got its next connection.

Cause: close_server_connection() forgot the connection at once, and the runtime discards the input of a closed one.

Change: a connection to a server with playbacks or queued releases is only finished: the sending side is shut down, what the server sent before it learned of this is heard, and the connection goes when the server closes too, or after 1 s. On the wire it is the same as before. Nothing is sent on such a connection; what would be is queued. Up to eight of them use descriptors of the process's reserve, so that making room for a set-up still takes no time.

--- a/src/io/io.h
+++ b/src/io/io.h
@@ -84,6 +84,12 @@
   ConnectionId connection;
   bool after_sending;
 };
+// Shuts down the sending side once unsent bytes are delivered. What the peer still sends is received until
+// its end of the stream (HalfClosed), so that nothing it sent before it learned of this is lost. Nothing may
+// be sent afterwards.
+struct FinishSending {
+  ConnectionId connection;
+};
 // Stops reading, so that TCP flow control slows the sender down.
 struct PauseReading {
   ConnectionId connection;
@@ -129,8 +135,8 @@
 struct StopLoop {
   Duration timeout{10'000'000};
 };
-using Action = std::variant<Dial, Send, Close, PauseReading, ResumeReading, StartTimer, Listen, StopListening,
-                            WriteFile, Persist, LogLine, DrainInput, StopLoop>;
+using Action = std::variant<Dial, Send, Close, FinishSending, PauseReading, ResumeReading, StartTimer, Listen,
+                            StopListening, WriteFile, Persist, LogLine, DrainInput, StopLoop>;
 
 // An event-driven state machine without I/O of its own.
 class Core {
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -61,9 +61,10 @@
     bool established = false;
     Duration established_at{0};
     Duration last_heard_at{0};
-    std::optional<Duration> retired_at;  // carries no new set-ups from then on
-    bool process_ended = false;          // leads to a process that the server has no more
-    std::set<PlaybackId> tries;          // sent, or waiting for the connection
+    std::optional<Duration> retired_at;           // carries no new set-ups from then on
+    std::optional<Duration> finished_sending_at;  // only receives from then on, until the server closes too
+    bool process_ended = false;                   // leads to a process that the server has no more
+    std::set<PlaybackId> tries;                   // sent, or waiting for the connection
     std::set<CallId> probes;
     Duration last_used_at{0};  // the last bytes in either direction
   };
@@ -170,6 +171,7 @@
 
   // ---- servers ----
   void sweep_servers();
+  void close_expired_connections();
   ServerId server_id(const std::string& name);
   ConnectionId dial(ServerId id, bool for_try);
   ConnectionId connection_for(ServerId id);
@@ -178,6 +180,10 @@
   void drop_server_connection(ConnectionId connection, Outcome outcome_if_sent,
                               Outcome outcome_if_unsent = Outcome::no_connection);
   void close_server_connection(ConnectionId connection);
+  void finish_sending(ConnectionId connection);
+  bool is_wanted(ServerId id) const;
+  bool is_finished(ConnectionId connection) const;
+  std::size_t used_server_connections() const;
   void retire(ConnectionId connection);
   bool has_connection_to(ServerId id) const;
   bool reserve_server_connection(bool for_try);
--- a/src/platform/platform_list.cpp
+++ b/src/platform/platform_list.cpp
@@ -107,7 +107,7 @@
       continue;
     ended.insert(id);
     auto bytes = release_bytes(playback.call, cause::ended);
-    if (connected)
+    if (connected && !connection->second.finished_sending_at)
       send_to_server(connection->first, std::move(bytes));
     else
       queued.push_back({std::move(bytes), playback.path});
--- a/src/platform/platform_servers.cpp
+++ b/src/platform/platform_servers.cpp
@@ -18,6 +18,10 @@
 constexpr Duration redial_interval{500ms};
 // For a retired connection, to receive what the server still sends on it.
 constexpr Duration retired_lifetime{1s};
+// For a server to end its side of a connection on which sending is finished.
+constexpr Duration finish_timeout{1s};
+// Connections on which sending is finished use descriptors of the process's own reserve, up to this number.
+constexpr std::size_t max_unlimited_finished = 8;
 constexpr std::size_t max_unmatched_releases = 4096;
 // From a server's release of an unknown call to the viewer's handover of that playback.
 constexpr Duration unmatched_release_lifetime{10s};
@@ -87,15 +91,28 @@
   return dial(id, true);
 }
 
-// Closes retired and idle connections, and checks the liveness of servers with playbacks.
-void Platform::sweep_servers() {
-  std::vector<ConnectionId> expired;
-  for (auto& [connection_id, connection] : server_connections_) {
-    if (connection.retired_at && connection.tries.empty() && now_ - *connection.retired_at > retired_lifetime)
+void Platform::close_expired_connections() {
+  std::vector<ConnectionId> expired, unanswered;
+  for (const auto& [connection_id, connection] : server_connections_) {
+    if (connection.finished_sending_at) {
+      if (now_ - *connection.finished_sending_at > finish_timeout)
+        unanswered.push_back(connection_id);
+    } else if (connection.retired_at && connection.tries.empty() &&
+               now_ - *connection.retired_at > retired_lifetime) {
       expired.push_back(connection_id);
+    }
   }
   for (const auto connection : expired)
     close_server_connection(connection);
+  for (const auto connection : unanswered) {
+    drop_server_connection(connection, Outcome::reset);
+    actions_->push_back(Close{connection, false});
+  }
+}
+
+// Closes retired and idle connections, and checks the liveness of servers with playbacks.
+void Platform::sweep_servers() {
+  close_expired_connections();
   while (!unmatched_releases_.empty() &&
          now_ - unmatched_releases_.front().received_at > unmatched_release_lifetime)
     unmatched_releases_.pop_front();
@@ -110,23 +127,41 @@
     }
   }
   for (ServerId id = 0; id < servers_.size(); ++id) {
-    if (!servers_[id].playing.empty() || !servers_[id].queued_releases.empty())
+    if (is_wanted(id))
       request_liveness_check(id);
   }
 }
 
+// Whether a connection to the server is needed to hear of playbacks or to deliver releases.
+bool Platform::is_wanted(ServerId id) const {
+  return !servers_[id].playing.empty() || !servers_[id].queued_releases.empty();
+}
+
+bool Platform::is_finished(ConnectionId connection) const {
+  const auto found = server_connections_.find(connection);
+  return found != server_connections_.end() && found->second.finished_sending_at;
+}
+
+// The connections that count towards max_server_connections().
+std::size_t Platform::used_server_connections() const {
+  const auto finished = static_cast<std::size_t>(
+      std::count_if(server_connections_.begin(), server_connections_.end(),
+                    [](const auto& entry) { return entry.second.finished_sending_at.has_value(); }));
+  return server_connections_.size() - std::min(finished, max_unlimited_finished);
+}
+
 // Guards against connections to servers using up the descriptors of the channel and of viewers: at the limit
 // the least recently used one is closed. One to a server with playbacks is closed only in favour of a try.
 bool Platform::reserve_server_connection(bool for_try) {
-  if (server_connections_.size() < max_server_connections())
+  if (used_server_connections() < max_server_connections())
     return true;
   ConnectionId evicted = 0;
   std::tuple<bool, Duration, ConnectionId> lowest_rank;
   for (const auto& [connection_id, connection] : server_connections_) {
-    if (!connection.established || !connection.tries.empty() || !connection.probes.empty())
+    if (!connection.established || connection.finished_sending_at || !connection.tries.empty() ||
+        !connection.probes.empty())
       continue;
-    const auto& server = servers_[connection.server];
-    const bool wanted = !server.playing.empty() || !server.queued_releases.empty();
+    const bool wanted = is_wanted(connection.server);
     const std::tuple rank(wanted, connection.last_used_at, connection_id);
     if ((wanted && !for_try) || (evicted != 0 && rank >= lowest_rank))
       continue;
@@ -136,7 +171,7 @@
   if (evicted == 0)
     return false;
   close_server_connection(evicted);
-  return true;
+  return used_server_connections() < max_server_connections();
 }
 
 // Guards against counting a lack of descriptors or ports on this machine as silence of the server.
@@ -212,10 +247,21 @@
 }
 
 void Platform::close_server_connection(ConnectionId connection_id) {
+  const auto& connection = server_connections_.at(connection_id);
+  if (connection.established && connection.tries.empty() && is_wanted(connection.server))
+    return finish_sending(connection_id);
   drop_server_connection(connection_id, Outcome::reset);
   actions_->push_back(Close{connection_id, true});
 }
 
+// Guards against losing the release of a playback that the server has sent while the connection is closed: it
+// stays open for receiving until the server closes its side too.
+void Platform::finish_sending(ConnectionId connection_id) {
+  retire(connection_id);
+  server_connections_.at(connection_id).finished_sending_at = now_;
+  actions_->push_back(FinishSending{connection_id});
+}
+
 void Platform::end_all_playbacks(ServerId id, const char* cause) {
   auto& server = servers_[id];
   server.queued_releases.clear();
@@ -275,8 +321,12 @@
   // Guards against a playback without a viewer: a server may accept a try that has ended.
   const bool for_nobody = known == playbacks_by_call_.end() || playbacks_.at(known->second).server != id ||
                           playbacks_.at(known->second).state == Playback::State::waiting;
-  if (for_nobody && message.kind == ServerMessage::Kind::accept)
-    return send_to_server(connection_id, release_bytes(message.call, cause::ended));
+  if (for_nobody && message.kind == ServerMessage::Kind::accept) {
+    auto bytes = release_bytes(message.call, cause::ended);
+    if (connection.finished_sending_at)
+      return send_or_queue_release(id, {std::move(bytes), {connection_id, connection.established_at}});
+    return send_to_server(connection_id, std::move(bytes));
+  }
   if (for_nobody)
     return;
   auto& playback = playbacks_.at(known->second);
@@ -326,7 +376,8 @@
 
 void Platform::on_release(ConnectionId connection_id, ServerMessage& message) {
   const auto id = server_connections_.at(connection_id).server;
-  send_to_server(connection_id, released_bytes(message.call));
+  if (!is_finished(connection_id))
+    send_to_server(connection_id, released_bytes(message.call));
   const auto known = playbacks_by_call_.find(message.call);
   if (known == playbacks_by_call_.end()) {
     unmatched_releases_.push_back({message.call, id, *message.cause, now_});
--- a/src/runtime/runtime.cpp
+++ b/src/runtime/runtime.cpp
@@ -229,6 +229,7 @@
                          to_flush.push_back(a.connection);
                      },
                      [&](Close& a) { start_close(a); },
+                     [&](FinishSending& a) { finish_sending(a); },
                      [&](PauseReading& a) {
                        auto* from = find(a.connection);
                        if (from && from->reading)
@@ -425,6 +426,17 @@
       delete pending;
   }
 
+  void finish_sending(const FinishSending& action) {
+    auto* connection = find(action.connection);
+    if (!connection || connection->detached || !connection->connected)
+      return;
+    flush(*connection);
+    auto* request = new uv_shutdown_t;
+    const auto done = [](uv_shutdown_t* r, int) { delete r; };
+    if (uv_shutdown(request, stream(*connection), done))
+      delete request;  // the connection is broken, which reading reports
+  }
+
   void start_close(const Close& action) {
     auto* connection = find(action.connection);
     if (!connection || connection->detached)
--- a/tests/program/net.h
+++ b/tests/program/net.h
@@ -191,6 +191,11 @@
               else
                 post(now_ + latency, far.host, Disconnected{far.connection, CloseReason::reset});
             },
+            [&](FinishSending& a) {
+              const auto far_end = host.connections.find(a.connection);
+              if (far_end != host.connections.end())
+                post(now_ + latency, far_end->second.host, HalfClosed{far_end->second.connection});
+            },
             [&](PauseReading& a) {
               if (const auto far_end = host.connections.find(a.connection); far_end != host.connections.end())
                 far_end->second.paused = true;
--- a/tests/program/runtime_test.cpp
+++ b/tests/program/runtime_test.cpp
@@ -167,6 +167,56 @@
   EXPECT_FALSE(core.flushed_early);
 }
 
+// Dials itself and finishes sending at once; the other end answers only when it has seen the end.
+class FinishingDialler : public Bounded {
+ public:
+  std::uint16_t port = 0;
+  std::string question, answer;
+  bool answered_after_end = false, half_closed = false;
+  void handle_event(Duration, const IoEvent& event, std::vector<Action>& actions) override {
+    std::visit(Overloaded{
+                   [&](const TimerFired&) {
+                     if (!std::exchange(dialled_, true))
+                       actions.push_back(Dial{1, "127.0.0.1", port});
+                   },
+                   [&](const Connected& c) {
+                     actions.push_back(Send{c.connection, "question"});
+                     actions.push_back(FinishSending{c.connection});
+                   },
+                   [&](const Received& r) { (r.connection == 1 ? answer : question) += r.bytes; },
+                   [&](const HalfClosed& h) {
+                     if (h.connection != 1) {
+                       answered_after_end = answer.empty();
+                       actions.push_back(Send{h.connection, "answer"});
+                       actions.push_back(Close{h.connection, true});
+                       return;
+                     }
+                     half_closed = true;
+                     actions.push_back(Close{1, true});
+                     actions.push_back(StopLoop{});
+                   },
+                   [&](const auto&) {},
+               },
+               event);
+  }
+
+ private:
+  bool dialled_ = false;
+};
+
+// Guards against losing what the peer sends before it learns that this side sends no more.
+TEST(Runtime, DeliversWhatComesAfterSendingIsFinished) {
+  FinishingDialler core;
+  Loop loop(core, {{"127.0.0.1", 0}}, {}, "");
+  core.port = loop.port(0);
+  loop.run();
+  EXPECT_FALSE(core.gave_up);
+  EXPECT_EQ(core.question, "question");
+  EXPECT_EQ(core.answer, "answer");
+  EXPECT_TRUE(core.answered_after_end);
+  EXPECT_TRUE(core.half_closed);
+}
+
 TEST(Runtime, ListeningOnAUsedPortFailsWithItsAddress) {
   Echo one, two;
   Loop first(one, {{"127.0.0.1", 0}}, {}, "");
