Let servers with playbacks take turns when descriptors are short

Cause: at the limit a server with playbacks got a connection only when another needed its own no more; nothing passed a connection on. A dial without room counted as a failure of this machine, which set the silence of its server back each time, so a server that had vanished was never found lost; health checks of connected servers found no room either. Found beside it: a release queued by a viewer's end waited as long, a probe evicted the connection of a server with playbacks, and a set-up could evict the only connection to a draining server.

Change: servers with playbacks take turns, the longest silent first, 3.5 s at most, spread evenly; at once for a queued release or an unanswered dial. Silence counts from the first unanswered dial. Probes evict nothing that a playback needs; draining servers keep their connection. The limit stays: descriptors must not grow with the fleet. Replacements and connections that only receive use up to 8 of the 24 descriptors that are kept for the process.

Why it works: each server with playbacks is dialled at the latest 3.5 s after it was last heard, and sends its releases on the new connection; a vanished one is found lost 3.5 s after that dial.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -10,7 +10,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration sweep_interval{100ms};
 // Longer abandon times are cut to this.
 constexpr Duration max_shutdown_wait{3s};
 // Viewers still send requests for this long after the signal.
@@ -73,8 +72,7 @@
   while (!liveness_checks_due_.empty() || !overflowed_viewers_.empty()) {
     for (const auto connection : std::exchange(overflowed_viewers_, {}))
       close_overflowed_viewer(connection);
-    for (const auto id : std::exchange(liveness_checks_due_, {}))
-      check_server_liveness(id);
+    check_liveness_of_servers();
   }
 }
 
@@ -265,8 +263,12 @@
   if (server.pending_dial == event.connection)
     server.pending_dial = 0;
   if (server.connection && server.connection != event.connection) {
-    if (const auto old = server_connections_.find(server.connection); old != server_connections_.end())
-      old->second.retired_at = now_;
+    const auto replaced = server.connection;
+    const auto& old = server_connections_.at(replaced);
+    if (old.tries.empty() && old.probes.empty())
+      finish_sending(replaced);
+    else
+      retire(replaced);
   }
   server.connection = event.connection;
   for (auto& release : server.queued_releases)
@@ -405,7 +407,7 @@
           [&](const Reject& o) { final_answer(o.playback, cause::rejected, o.retry_after); },
           [&](const Abort& o) { final_answer(o.playback, cause::reset, Duration(0)); },
           [&](const Probe& probe) {
-            const auto connection_id = connection_for(probe.server);
+            const auto connection_id = connection_for(probe.server, Eviction::unneeded);
             if (connection_id == 0)
               return process_event(ProbeEnded{probe.server, false, {}, !processes_.endpoint(probe.server)});
             const auto probe_call = next_probe_call_++;
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -86,6 +86,7 @@
     std::set<PlaybackId> playing;
     std::vector<QueuedRelease> queued_releases;  // to be sent on the next connection
     Duration last_heard_at{0};
+    std::optional<Duration> unanswered_dial_at;  // the first dial since the server was last heard
     Duration next_dial_at{0};
     int consecutive_dial_refusals = 0;  // of dials, since the server was last heard
     Duration first_dial_refusal_at{0};
@@ -173,8 +174,10 @@
   void sweep_servers();
   void close_expired_connections();
   ServerId server_id(const std::string& name);
-  ConnectionId dial(ServerId id, bool for_try);
-  ConnectionId connection_for(ServerId id);
+  // Which connections may be closed to make room for a dial.
+  enum class Eviction { unneeded, any };
+  ConnectionId dial(ServerId id, Eviction eviction);
+  ConnectionId connection_for(ServerId id, Eviction eviction);
   void on_server_message(ConnectionId connection, ServerMessage& message);
   void on_release(ConnectionId connection, ServerMessage& message);
   void drop_server_connection(ConnectionId connection, Outcome outcome_if_sent,
@@ -183,16 +186,25 @@
   void finish_sending(ConnectionId connection);
   bool is_wanted(ServerId id) const;
   bool is_finished(ConnectionId connection) const;
-  std::size_t used_server_connections() const;
+  std::size_t count_transient_connections() const;
+  bool has_room_for_dial(ServerId id) const;
+  bool make_room_for_dial(ServerId id, Eviction eviction);
+  ConnectionId choose_eviction(ServerId id, Eviction eviction) const;
+  bool make_room_for_transient_connection();
   void retire(ConnectionId connection);
   bool has_connection_to(ServerId id) const;
-  bool reserve_server_connection(bool for_try);
   void record_local_dial_failure(ServerId id);
+  void dial_for_liveness(ServerId id);
+  void restart_silence(ServerId id);
+  bool silence_timed_out(ServerId id) const;
+  bool is_redial_due(ServerId id) const;
+  void earn_evictions();
   void send_after_input_drained(PlaybackId id);
   void send_try(Playback& playback);
   void send_to_server(ConnectionId connection, std::string bytes);
   void send_or_queue_release(ServerId id, QueuedRelease release);
   void request_liveness_check(ServerId id);
+  void check_liveness_of_servers();
   void check_server_liveness(ServerId id);
   void end_all_playbacks(ServerId id, const char* cause);
   void end_playbacks(ServerId id, const std::set<PlaybackId>& ended, const char* cause);
@@ -255,6 +267,8 @@
   // Work that may remove playbacks and connections, put off to the end of the current event: no handler then
   // loses what it works on.
   std::set<ServerId> liveness_checks_due_;
+  std::set<ServerId> waiting_servers_;  // with playbacks, but no room for a connection to them
+  double earned_evictions_ = 0;         // connections that may pass to waiting servers now
   std::vector<ConnectionId> overflowed_viewers_;
   std::deque<Event> event_queue_;
   bool processing_events_ = false;
--- a/src/platform/platform_connections.cpp
+++ b/src/platform/platform_connections.cpp
@@ -19,15 +19,20 @@
 constexpr Duration retired_lifetime{1s};
 // For a server to end its side of a connection on which sending is finished.
 constexpr Duration finish_timeout{1s};
-// Connections on which sending is finished use descriptors of the process's own reserve, up to this number.
-constexpr std::size_t max_unlimited_finished = 8;
+// The part of it that a server is left even if descriptors are short.
+constexpr Duration min_finish_time{100ms};
+// Connections that are about to end or to take the place of one, beyond the limit on connections to servers.
+constexpr std::size_t max_transient_connections = 8;
+// A server with playbacks that there is no room for takes the place of another connection after this silence.
+// With the time for the server to answer, what it has ended is known within 8 s.
+constexpr Duration max_silence_without_room{3500ms};
 // From a server's release of an unknown call to the viewer's handover of that playback.
 constexpr Duration unmatched_release_lifetime{10s};
 // A single refused dial may be momentary.
 constexpr int dial_refusals_until_lost = 2;
 // Of a server's idle timeout: connections idle for longer carry no set-up.
 constexpr double idle_timeout_share = 0.8;
-// For the command channel, the listener, the log and the event loop.
+// For the command channel, the listener, the log, the event loop and transient connections.
 constexpr std::size_t reserved_descriptors = 24;
 
 }  // namespace
@@ -38,28 +43,31 @@
   return config_.max_sockets > others + 1 ? config_.max_sockets - others : 1;
 }
 
-ConnectionId Platform::dial(ServerId id, bool for_try) {
+ConnectionId Platform::dial(ServerId id, Eviction eviction) {
   auto& server = servers_[id];
   if (server.pending_dial)
     return server.pending_dial;
-  if (!processes_.endpoint(id) || !reserve_server_connection(for_try))
+  if (!processes_.endpoint(id) || !make_room_for_dial(id, eviction))
     return 0;
   const auto connection_id = next_connection_id_++;
   auto& connection = server_connections_[connection_id];
   connection.server = id;
   connection.last_heard_at = connection.last_used_at = now_;
   server.pending_dial = connection_id;
+  if (!server.unanswered_dial_at)
+    server.unanswered_dial_at = now_;
+  waiting_servers_.erase(id);
   const auto& endpoint = *processes_.endpoint(id);
   actions_->push_back(Dial{connection_id, endpoint.address, endpoint.port});
   start_timer(config_.dial_timeout, TimerKind::dial_timeout, connection_id);
   return connection_id;
 }
 
-ConnectionId Platform::connection_for(ServerId id) {
+ConnectionId Platform::connection_for(ServerId id, Eviction eviction) {
   const auto found = server_connections_.find(servers_[id].connection);
   if (found != server_connections_.end() && found->second.tries.size() < config_.max_tries_per_connection)
     return found->first;
-  return dial(id, true);
+  return dial(id, eviction);
 }
 
 void Platform::close_expired_connections() {
@@ -68,7 +76,7 @@
     if (connection.finished_sending_at) {
       if (now_ - *connection.finished_sending_at > finish_timeout)
         unanswered.push_back(connection_id);
-    } else if (connection.retired_at && connection.tries.empty() &&
+    } else if (connection.retired_at && connection.tries.empty() && connection.probes.empty() &&
                now_ - *connection.retired_at > retired_lifetime) {
       expired.push_back(connection_id);
     }
@@ -97,6 +105,7 @@
         retire(connection_id);
     }
   }
+  earn_evictions();
   for (ServerId id = 0; id < servers_.size(); ++id) {
     if (is_wanted(id))
       request_liveness_check(id);
@@ -113,19 +122,40 @@
   return found != server_connections_.end() && found->second.finished_sending_at;
 }
 
-// The connections that count towards max_server_connections().
-std::size_t Platform::used_server_connections() const {
-  const auto finished = static_cast<std::size_t>(
-      std::count_if(server_connections_.begin(), server_connections_.end(),
-                    [](const auto& entry) { return entry.second.finished_sending_at.has_value(); }));
-  return server_connections_.size() - std::min(finished, max_unlimited_finished);
+// Connections that are about to end, or to take the place of one. They use the process's own reserve of
+// descriptors, so that a connection can be replaced and evicted at the limit.
+std::size_t Platform::count_transient_connections() const {
+  return static_cast<std::size_t>(
+      std::count_if(server_connections_.begin(), server_connections_.end(), [&](const auto& entry) {
+        const auto& connection = entry.second;
+        return connection.finished_sending_at ||
+               (!connection.established && servers_[connection.server].connection != 0);
+      }));
+}
+
+bool Platform::has_room_for_dial(ServerId id) const {
+  const auto transient = count_transient_connections() + (servers_[id].connection != 0 ? 1 : 0);
+  return server_connections_.size() + 1 - std::min(transient, max_transient_connections) <=
+         max_server_connections();
 }
 
 // Guards against connections to servers using up the descriptors of the channel and of viewers: at the limit
-// the least recently used one is closed. One to a server with playbacks is closed only in favour of a try.
-bool Platform::reserve_server_connection(bool for_try) {
-  if (used_server_connections() < max_server_connections())
+// another connection is closed.
+bool Platform::make_room_for_dial(ServerId id, Eviction eviction) {
+  if (has_room_for_dial(id))
     return true;
+  const auto evicted = choose_eviction(id, eviction);
+  if (evicted == 0 ||
+      (is_wanted(server_connections_.at(evicted).server) && !make_room_for_transient_connection()))
+    return false;
+  close_server_connection(evicted);
+  return has_room_for_dial(id);
+}
+
+// Returns the least recently used connection that no playback needs or, if any may be evicted, the oldest
+// other one, so that servers with playbacks take turns; 0: none. A draining server may refuse to be dialled
+// again, so its connection stays.
+ConnectionId Platform::choose_eviction(ServerId id, Eviction eviction) const {
   ConnectionId evicted = 0;
   std::tuple<bool, Duration, ConnectionId> lowest_rank;
   for (const auto& [connection_id, connection] : server_connections_) {
@@ -133,56 +163,140 @@
         !connection.probes.empty())
       continue;
     const bool wanted = is_wanted(connection.server);
-    const std::tuple rank(wanted, connection.last_used_at, connection_id);
-    if ((wanted && !for_try) || (evicted != 0 && rank >= lowest_rank))
+    const bool stays = connection.server == id || processes_.state(connection.server) != ServerState::ready;
+    if (wanted && (eviction == Eviction::unneeded || stays))
+      continue;
+    const std::tuple rank(wanted, wanted ? connection.established_at : connection.last_used_at,
+                          connection_id);
+    if (evicted != 0 && rank >= lowest_rank)
       continue;
     evicted = connection_id;
     lowest_rank = rank;
   }
-  if (evicted == 0)
+  return evicted;
+}
+
+// Guards against servers that never close their side using up the reserve: if it is used up, the connection
+// that has waited for its server the longest is closed.
+bool Platform::make_room_for_transient_connection() {
+  if (count_transient_connections() < max_transient_connections)
+    return true;
+  ConnectionId oldest = 0;
+  std::pair<Duration, ConnectionId> lowest_rank;
+  for (const auto& [connection_id, connection] : server_connections_) {
+    if (!connection.finished_sending_at || now_ - *connection.finished_sending_at < min_finish_time)
+      continue;
+    const std::pair rank(*connection.finished_sending_at, connection_id);
+    if (oldest != 0 && rank >= lowest_rank)
+      continue;
+    oldest = connection_id;
+    lowest_rank = rank;
+  }
+  if (oldest == 0)
     return false;
-  close_server_connection(evicted);
-  return used_server_connections() < max_server_connections();
+  drop_server_connection(oldest, Outcome::reset);
+  actions_->push_back(Close{oldest, false});
+  return true;
 }
 
-// Guards against counting a lack of descriptors or ports on this machine as silence of the server.
+// Guards against counting a lack of descriptors or ports on this machine as silence of the server, which
+// counts from the next dial.
 void Platform::record_local_dial_failure(ServerId id) {
   auto& server = servers_[id];
-  server.last_heard_at = std::max(server.last_heard_at, now_ - redial_after_silence);
+  server.unanswered_dial_at.reset();
   server.next_dial_at = std::max(server.next_dial_at, now_ + redial_interval);
 }
 
 void Platform::record_server_activity(ServerConnection& connection) {
   if (connection.process_ended)
     return;  // says nothing of the process that followed
-  auto& server = servers_[connection.server];
-  server.last_heard_at = now_;
-  server.consecutive_dial_refusals = 0;
+  restart_silence(connection.server);
+  servers_[connection.server].consecutive_dial_refusals = 0;
+}
+
+void Platform::restart_silence(ServerId id) {
+  servers_[id].last_heard_at = now_;
+  servers_[id].unanswered_dial_at.reset();
+}
+
+// Guards against losing playbacks at a server that could not be dialled for want of room: the time in which
+// it has to give a sign begins with a dial.
+bool Platform::silence_timed_out(ServerId id) const {
+  const auto& server = servers_[id];
+  if (!processes_.endpoint(id))
+    return now_ - server.last_heard_at > server_silence_timeout;
+  if (!server.unanswered_dial_at)
+    return false;
+  const auto since = std::max(server.last_heard_at + redial_after_silence, *server.unanswered_dial_at);
+  return now_ - since > server_silence_timeout - redial_after_silence;
 }
 
 // Guards against a handler losing the playback it works on: the check may end all playbacks of the server.
 void Platform::request_liveness_check(ServerId id) { liveness_checks_due_.insert(id); }
 
+// The servers that have been silent for longest come first, as not all may be dialled.
+void Platform::check_liveness_of_servers() {
+  std::vector<std::pair<Duration, ServerId>> due;
+  for (const auto id : std::exchange(liveness_checks_due_, {}))
+    due.emplace_back(servers_[id].last_heard_at, id);
+  std::sort(due.begin(), due.end());
+  for (const auto& [last_heard_at, id] : due)
+    check_server_liveness(id);
+}
+
 // Keeps a connection to a server with playbacks, on which it reports their ends. After a time of silence a
 // new one is dialled as a health check, as a connection to a vanished machine stays half-open.
 void Platform::check_server_liveness(ServerId id) {
-  auto& server = servers_[id];
-  const bool silent = now_ - server.last_heard_at > redial_after_silence;
-  if (server.connection && !silent)
+  waiting_servers_.erase(id);
+  if (!is_wanted(id) || !is_redial_due(id))
     return;
-  const bool silence_timed_out = now_ - server.last_heard_at > server_silence_timeout;
+  const auto& server = servers_[id];
   // A draining process may refuse new connections while its playbacks continue, so refusals count only when
   // no connection is open; the connections of a process that dies are reset.
   const bool refused = server.consecutive_dial_refusals >= dial_refusals_until_lost &&
                        now_ - server.first_dial_refusal_at >= redial_interval / 2 && !has_connection_to(id);
   const bool removed = processes_.is_removed(id) && !has_connection_to(id);
-  if (silence_timed_out || refused || removed)
-    return end_all_playbacks(id, silence_timed_out ? "no sign" : refused ? "refused" : "gone");
-  if (server.pending_dial || now_ < server.next_dial_at)
+  const bool silent = silence_timed_out(id);
+  if (silent || refused || removed)
+    return end_all_playbacks(id, silent ? "no sign" : refused ? "refused" : "gone");
+  if (!server.pending_dial && now_ >= server.next_dial_at)
+    dial_for_liveness(id);
+}
+
+// Whether a server with playbacks has no connection, or has been silent on it for too long.
+bool Platform::is_redial_due(ServerId id) const {
+  const auto& server = servers_[id];
+  // With servers waiting for room, one that is connected is not dialled for more than they are.
+  const auto longest_silence = waiting_servers_.empty() ? redial_after_silence : max_silence_without_room;
+  return !server.connection || now_ - server.last_heard_at > longest_silence;
+}
+
+// Dials the server if there is room, or takes the place of another connection if the server has been silent
+// for too long, has not answered a dial, or a release waits to be sent to it.
+void Platform::dial_for_liveness(ServerId id) {
+  auto& server = servers_[id];
+  if (!processes_.endpoint(id))
+    return;
+  const bool urgent = now_ - server.last_heard_at >= max_silence_without_room || server.unanswered_dial_at ||
+                      !server.queued_releases.empty();
+  const bool earned = !urgent && earned_evictions_ >= 1;
+  const bool has_room = has_room_for_dial(id);
+  if (dial(id, urgent || earned ? Eviction::any : Eviction::unneeded) != 0) {
+    server.next_dial_at = now_ + redial_interval;
+    if (earned && !has_room)
+      earned_evictions_ -= 1;
     return;
-  server.next_dial_at = now_ + redial_interval;
-  if (dial(id, false) == 0 && processes_.endpoint(id))
-    record_local_dial_failure(id);
+  }
+  waiting_servers_.insert(id);
+  if (now_ - server.next_dial_at > redial_interval)
+    server.unanswered_dial_at.reset();
+}
+
+// Spreads the turns of the servers that wait evenly over the time that each of them may wait.
+void Platform::earn_evictions() {
+  const std::chrono::duration<double> sweep = sweep_interval, longest_wait = max_silence_without_room;
+  const auto waiting = static_cast<double>(waiting_servers_.size());
+  earned_evictions_ = std::min(waiting, earned_evictions_ + waiting * (sweep / longest_wait));
 }
 
 // Includes retired connections, on which the server still reports, but none to a process that has ended.
@@ -204,7 +318,8 @@
 
 void Platform::close_server_connection(ConnectionId connection_id) {
   const auto& connection = server_connections_.at(connection_id);
-  if (connection.established && connection.tries.empty() && is_wanted(connection.server))
+  const bool in_use = !connection.established || !connection.tries.empty() || !connection.probes.empty();
+  if (!in_use && is_wanted(connection.server))
     return finish_sending(connection_id);
   drop_server_connection(connection_id, Outcome::reset);
   actions_->push_back(Close{connection_id, true});
@@ -214,7 +329,9 @@
 // stays open for receiving until the server closes its side too.
 void Platform::finish_sending(ConnectionId connection_id) {
   retire(connection_id);
-  server_connections_.at(connection_id).finished_sending_at = now_;
+  auto& connection = server_connections_.at(connection_id);
+  connection.finished_sending_at = now_;
+  request_liveness_check(connection.server);
   actions_->push_back(FinishSending{connection_id});
 }
 
@@ -230,6 +347,7 @@
     server.connection = 0;
   if (server.pending_dial == connection_id)
     server.pending_dial = 0;
+  liveness_checks_due_.insert(waiting_servers_.begin(), waiting_servers_.end());
   for (const auto id : connection.tries) {
     auto* playback = find_playback(id);
     if (!playback || playback->state != Playback::State::trying || playback->connection != connection_id)
--- a/src/platform/platform_list.cpp
+++ b/src/platform/platform_list.cpp
@@ -113,11 +113,11 @@
       queued.push_back({std::move(bytes), playback.path});
   }
   server.consecutive_dial_refusals = 0;
+  server.unanswered_dial_at.reset();
   if (!ended.empty())
     end_playbacks(end.server, ended, end.successor == end.server ? "started anew" : "replaced");
-  auto& successor = servers_[end.successor];
-  if (successor.playing.empty())
-    successor.last_heard_at = now_;  // its silence counts from now
+  if (servers_[end.successor].playing.empty())
+    restart_silence(end.successor);
   for (auto& release : queued) {
     if (may_run_at_successor(release.path))
       send_or_queue_release(end.successor, std::move(release));
--- a/src/platform/platform_playbacks.cpp
+++ b/src/platform/platform_playbacks.cpp
@@ -66,7 +66,7 @@
   playback->sent = false;
   playback->try_started_at = now_;
   playback->try_deadline = now_ + command.time_limit;
-  playback->connection = connection_for(command.server);
+  playback->connection = connection_for(command.server, Eviction::any);
   if (playback->connection == 0 && !processes_.endpoint(command.server))
     return end_try(command.playback, Outcome::no_connection, {}, false);
   // Without a free descriptor the try waits as long as for a dial: if it ended at once, it would be retried
--- a/src/platform/platform_viewers.cpp
+++ b/src/platform/platform_viewers.cpp
@@ -281,7 +281,7 @@
   playback.server = server;
   playback.rung = config_.policy.plans[request.plan].floor;
   if (servers_[server].playing.empty())
-    servers_[server].last_heard_at = now_;
+    restart_silence(server);
   servers_[server].playing.insert(id);
   ++viewer.playing_count;
   last_started_viewer_ = connection;
--- a/tests/program/platform_connections_test.cpp
+++ b/tests/program/platform_connections_test.cpp
@@ -19,8 +19,8 @@
   void replace_quiet_connection(ConnectionId old) {
     advance(2200ms);
     connect_to("10.1.0.1");
-    actions.clear();
-    advance(1200ms);
+    for (int i = 0; i < 120 && !sending_finished(old) && !closed(old); ++i)
+      advance(10ms);
     EXPECT_TRUE(sending_finished(old) || closed(old));
   }
 };
@@ -82,5 +82,256 @@
             1u);
 }
 
+// Each server has one playback that is handed over at the start; there is not room for a connection to each.
+// Servers say nothing by themselves, accept a dial after 2 ms, and send the release of a playback that has
+// ended on the connection they have, and on the next one.
+class CrowdedFleetTest : public PlatformConnectionsTest {
+ protected:
+  static constexpr std::size_t max_connections = 72, max_transient = 8;  // with 256 descriptors
+  static constexpr Duration release_limit = 1050ms, end_limit = 8050ms;
+  struct Server {
+    std::vector<ConnectionId> connections;
+    bool vanished = false;
+    std::optional<Duration> ended_at, told_at;
+    Duration limit{0};
+    bool release_queued = false;  // the viewer has ended the playback
+    std::optional<Duration> released_at;
+  };
+
+  static CallId call_of(int server) { return 0x1000 + static_cast<CallId>(server); }
+  static std::string address_of(int server) { return "10.3.0." + std::to_string(server); }
+
+  // Adds the servers to the list, and hands a playback over at each of them.
+  void begin(int count) {
+    servers.assign(static_cast<std::size_t>(count), {});
+    deliver(Connected{channel_connection});
+    std::string entries;
+    for (int i = 0; i < count; ++i)
+      entries += (i ? "," : "") + list_entry("t-" + std::to_string(i), address_of(i), "Ready");
+    receive(channel_connection, event(2, false, entries));
+    accept_viewer();
+    for (int i = 0; i < count; ++i)
+      receive(viewer, offer(format_call_id(call_of(i)), "1500", "",
+                            "home:0;copies:2;top:1;at:t-" + std::to_string(i)));
+    take_actions();
+  }
+  void pass(Duration time) {
+    for (const auto until = now + time; now < until;) {
+      now += 2ms;
+      for (const auto& event : std::exchange(pending, {}))
+        deliver_at_server(event);
+      deliver(TimerFired{});
+      take_actions();
+      most_connections = std::max(most_connections, core->resource_counts().server_connections);
+    }
+  }
+  void end_playback(int index) {
+    auto& server = servers[static_cast<std::size_t>(index)];
+    server.ended_at = now;
+    server.limit = server.connections.empty() ? end_limit : release_limit;
+    if (!server.connections.empty())
+      receive(server.connections.back(), release(16, call_of(index)));
+    take_actions();
+  }
+  // It gives no sign any more, and its playback is lost.
+  void vanish(int index) {
+    auto& server = servers[static_cast<std::size_t>(index)];
+    server.vanished = true;
+    server.ended_at = now;
+    server.limit = end_limit;
+  }
+  int unconnected_server(int from) const {
+    for (auto i = from; i < static_cast<int>(servers.size()); ++i) {
+      const auto& server = servers[static_cast<std::size_t>(i)];
+      if (server.connections.empty() && !server.ended_at)
+        return i;
+    }
+    return -1;
+  }
+  // Those that have not yet learned that the manager sends no more on their connection.
+  std::vector<int> servers_about_to_be_finished() const {
+    std::vector<int> found;
+    for (const auto& event : pending) {
+      const auto index = server_of.find(event.connection);
+      if (event.kind != Pending::Kind::finish || index == server_of.end())
+        continue;
+      const auto& server = servers[static_cast<std::size_t>(index->second)];
+      if (!server.ended_at && server.connections.size() == 1)
+        found.push_back(index->second);
+    }
+    return found;
+  }
+  void expect_ends_told_in_time() const {
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+      const auto& server = servers[i];
+      if (!server.ended_at) {
+        EXPECT_FALSE(server.told_at) << "server " << i << " was taken for lost";
+        continue;
+      }
+      ASSERT_TRUE(server.told_at) << "server " << i;
+      EXPECT_LE((*server.told_at - *server.ended_at).count(), server.limit.count()) << "server " << i;
+    }
+    EXPECT_LE(most_connections, max_connections + max_transient);
+  }
+
+  std::vector<Server> servers;
+  std::size_t most_connections = 0;
+
+ private:
+  struct Pending {
+    enum class Kind { dial, finish } kind;
+    ConnectionId connection;
+  };
+  void deliver_at_server(const Pending& event) {
+    const auto index = server_of.find(event.connection);
+    if (index == server_of.end())
+      return;  // closed meanwhile
+    auto& server = servers[static_cast<std::size_t>(index->second)];
+    if (server.vanished)
+      return;
+    if (event.kind == Pending::Kind::finish) {
+      std::erase(server.connections, event.connection);
+      server_of.erase(index);
+      return deliver(HalfClosed{event.connection});
+    }
+    server.connections.push_back(event.connection);
+    deliver(Connected{event.connection});
+    if (server.ended_at)
+      receive(event.connection, release(16, call_of(index->second)));
+  }
+  void take_actions() {
+    for (const auto& action : std::exchange(actions, {})) {
+      if (const auto* dial = std::get_if<Dial>(&action); dial && dial->address.starts_with("10.3.0.")) {
+        server_of[dial->connection] = std::stoi(dial->address.substr(7));
+        pending.push_back({Pending::Kind::dial, dial->connection});
+      } else if (const auto* finish = std::get_if<FinishSending>(&action)) {
+        pending.push_back({Pending::Kind::finish, finish->connection});
+      } else if (const auto* close = std::get_if<Close>(&action)) {
+        if (const auto found = server_of.find(close->connection); found != server_of.end()) {
+          std::erase(servers[static_cast<std::size_t>(found->second)].connections, close->connection);
+          server_of.erase(found);
+        }
+      } else if (const auto* send = std::get_if<Send>(&action)) {
+        take_sent_bytes(*send);
+      }
+    }
+  }
+  void take_sent_bytes(const Send& send) {
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+      auto& server = servers[i];
+      const auto call = call_of(static_cast<int>(i));
+      if (send.connection >= first_accepted) {
+        const bool told = count(send.bytes, end_line(call, 16)) + count(send.bytes, end_line(call, 41)) > 0;
+        if (told && !server.told_at)
+          server.told_at = now;
+      } else if (send.bytes.find(release_bytes(call, 16)) != std::string::npos) {
+        server.released_at = now;
+      }
+    }
+  }
+  std::map<ConnectionId, int> server_of;
+  std::vector<Pending> pending;
+};
+
+// Guards against servers that never get a connection while others hold theirs: the ends of their playbacks
+// were told up to 17 s late.
+TEST_F(CrowdedFleetTest, TheEndsOfPlaybacksAreHeardFromMoreServersThanConnections) {
+  for (const int count : {96, 288}) {
+    now = 1s;
+    make_core(256);
+    begin(count);
+    pass(5s);
+    std::size_t crossings = 0;
+    for (int i = 0; i < count; ++i) {
+      if (const auto next = (i * 37 + 5) % count; !servers[static_cast<std::size_t>(next)].ended_at)
+        end_playback(next);
+      bool crossed = false;  // at most one end at a time crosses the close of its connection
+      for (const auto until = now + 150ms; now < until; pass(2ms)) {
+        const auto crossing = servers_about_to_be_finished();
+        if (crossing.empty() || std::exchange(crossed, true))
+          continue;
+        ++crossings;
+        end_playback(crossing.front());
+      }
+    }
+    pass(9s);
+    expect_ends_told_in_time();
+    EXPECT_GT(crossings, 5u);
+    EXPECT_EQ(core->resource_counts().playbacks, 0u);
+  }
+}
+
+// Guards against the silence of a vanished server never counting while there is no room to dial it.
+TEST_F(CrowdedFleetTest, VanishedServersAreFoundLostInTimeAndOthersAreNot) {
+  for (const int count : {96, 288}) {
+    now = 1s;
+    make_core(256);
+    begin(count);
+    pass(6s);
+    for (int i = 0; i < count / 3; ++i)
+      vanish(i * 3);
+    pass(9s);
+    expect_ends_told_in_time();
+  }
+}
+
+// A release that waits for a connection takes another's place: the seat that it frees is given out at once.
+TEST_F(CrowdedFleetTest, AQueuedReleaseIsSentAtOnce) {
+  begin(96);
+  pass(3s);
+  const int index = unconnected_server(0);
+  ASSERT_GE(index, 0);
+  receive(viewer, end(format_call_id(call_of(index))));
+  pass(100ms);
+  const auto& server = servers[static_cast<std::size_t>(index)];
+  EXPECT_TRUE(server.released_at);
+}
+
+// Viewers at their maximum, floods included, change nothing. The servers that come last get no connection at
+// the start.
+TEST_F(CrowdedFleetTest, ViewersAtTheirMaximumTakeNoServersTurn) {
+  begin(288);
+  for (ConnectionId i = 1; i < 160; ++i)
+    accept_viewer(viewer + i);
+  pass(1500ms);
+  EXPECT_EQ(core->resource_counts().viewer_connections, 160u);
+  for (int i = 240; i < 288; ++i) {
+    end_playback(i);
+    pass(100ms);
+  }
+  pass(9s);
+  expect_ends_told_in_time();
+}
+
+// Probes are not worth a connection that a playback needs.
+TEST_F(CrowdedFleetTest, AProbeTakesNoConnectionThatAPlaybackNeeds) {
+  begin(72);
+  pass(100ms);
+  decide = [](const Event& event) -> std::vector<Command> {
+    if (std::holds_alternative<Request>(event))
+      return {Probe{0}};
+    return {};
+  };
+  events.clear();
+  receive(viewer, offer());
+  const auto probes = events_of_type<ProbeEnded>(events);
+  ASSERT_EQ(probes.size(), 1u);
+  EXPECT_FALSE(probes[0].answered);
+  EXPECT_FALSE(probes[0].sent);
+  EXPECT_EQ(take_dial("10.1.0.1"), 0u);
+}
+
+// A process that drains may refuse to be dialled again: its connection stays.
+TEST_F(CrowdedFleetTest, ADrainingServerKeepsItsConnection) {
+  begin(96);
+  pass(100ms);
+  ASSERT_FALSE(servers[0].connections.empty());
+  receive(channel_connection, event(3, false, list_entry("t-0", address_of(0), "Terminating")));
+  for (int i = 0; i < 200; ++i) {
+    pass(50ms);
+    ASSERT_FALSE(servers[0].connections.empty()) << i;
+  }
+}
+
 }  // namespace
 }  // namespace violettide::platform
