End a server's connection on which a message never becomes whole

Cause: ServerReader waits for a message without a limit of time, and its bytes count as a sign of the server, so that the connection is neither replaced nor ended, and the server has no new one to send its releases on again.

Change: the framing is checked as far as it has come: a parameter that begins like a message's length shows that the stated length reaches into the next message. A message has 0.5 s from its first byte to its last, whatever keeps coming. Both end the connection. Only whole messages are a sign of the server. Set-ups that were sent on it end as reset, as before; now a release follows for each on the next connection, as the session of a swallowed answer may stand.

Why it works: a server with playbacks is dialled at once and sends its releases on the new connection, so an end is told within the second that the release may take.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -308,24 +308,8 @@
     }
     return;
   }
-  const auto found = server_connections_.find(event.connection);
-  if (found == server_connections_.end())
-    return;
-  found->second.last_heard_at = found->second.last_used_at = now_;
-  record_server_activity(found->second);
-  std::vector<ServerMessage> messages;
-  const auto error = found->second.reader.feed(event.bytes, messages);
-  for (auto& message : messages) {
-    if (!server_connections_.contains(event.connection))
-      return;
-    on_server_message(event.connection, message);
-  }
-  if (!error || !server_connections_.contains(event.connection))
-    return;
-  log("unreadable",
-      {{"server", servers_[server_connections_.at(event.connection).server].name}, {"cause", *error}});
-  drop_server_connection(event.connection, Outcome::reset);
-  actions_->push_back(Close{event.connection, false});
+  if (server_connections_.contains(event.connection))
+    receive_from_server(event.connection, event.bytes);
 }
 
 void Platform::on(const HalfClosed& event) {
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -58,6 +58,7 @@
   struct ServerConnection {
     ServerId server = 0;
     ServerReader reader;
+    std::optional<Duration> partial_message_since;  // its first byte
     bool established = false;
     Duration established_at{0};
     Duration last_heard_at{0};
@@ -173,11 +174,14 @@
   // ---- servers ----
   void sweep_servers();
   void close_expired_connections();
+  void close_unreadable_connection(ConnectionId connection, const std::string& cause);
+  std::vector<ConnectionId> connections_with_overdue_message() const;
   ServerId server_id(const std::string& name);
   // Which connections may be closed to make room for a dial.
   enum class Eviction { unneeded, any };
   ConnectionId dial(ServerId id, Eviction eviction);
   ConnectionId connection_for(ServerId id, Eviction eviction);
+  void receive_from_server(ConnectionId connection, std::string_view bytes);
   void on_server_message(ConnectionId connection, ServerMessage& message);
   void on_release(ConnectionId connection, ServerMessage& message);
   void drop_server_connection(ConnectionId connection, Outcome outcome_if_sent,
--- a/src/platform/platform_connections.cpp
+++ b/src/platform/platform_connections.cpp
@@ -28,6 +28,9 @@
 constexpr Duration max_silence_without_room{3500ms};
 // From a server's release of an unknown call to the viewer's handover of that playback.
 constexpr Duration unmatched_release_lifetime{10s};
+// From the first byte of a server's message to its last. What it holds back is told again on the next
+// connection, within the second that a release may take.
+constexpr Duration server_message_timeout{500ms};
 // A single refused dial may be momentary.
 constexpr int dial_refusals_until_lost = 2;
 // Of a server's idle timeout: connections idle for longer carry no set-up.
@@ -70,6 +73,17 @@
   return dial(id, eviction);
 }
 
+// Guards against taking whatever a server sends for the rest of a message that never becomes whole.
+std::vector<ConnectionId> Platform::connections_with_overdue_message() const {
+  std::vector<ConnectionId> overdue;
+  for (const auto& [connection_id, connection] : server_connections_) {
+    if (connection.partial_message_since && now_ - *connection.partial_message_since > server_message_timeout)
+      overdue.push_back(connection_id);
+  }
+  std::sort(overdue.begin(), overdue.end());
+  return overdue;
+}
+
 void Platform::close_expired_connections() {
   std::vector<ConnectionId> expired, unanswered;
   for (const auto& [connection_id, connection] : server_connections_) {
@@ -92,6 +106,10 @@
 // Closes retired and idle connections, and checks the liveness of servers with playbacks.
 void Platform::sweep_servers() {
   close_expired_connections();
+  for (const auto connection : connections_with_overdue_message()) {
+    if (server_connections_.contains(connection))
+      close_unreadable_connection(connection, "a message was not completed in time");
+  }
   while (!unmatched_releases_.empty() &&
          now_ - unmatched_releases_.front().received_at > unmatched_release_lifetime)
     unmatched_releases_.pop_front();
--- a/src/platform/platform_servers.cpp
+++ b/src/platform/platform_servers.cpp
@@ -70,6 +70,53 @@
     end_playback(playback, Outcome::reset, {}, cause::reset);
 }
 
+// Only whole messages are a sign of the server.
+void Platform::receive_from_server(ConnectionId connection_id, std::string_view bytes) {
+  auto& connection = server_connections_.at(connection_id);
+  connection.last_used_at = now_;
+  std::vector<ServerMessage> messages;
+  const auto error = connection.reader.feed(bytes, messages);
+  if (!messages.empty()) {
+    connection.last_heard_at = now_;
+    connection.partial_message_since.reset();
+    record_server_activity(connection);
+  }
+  if (!connection.reader.has_partial_message())
+    connection.partial_message_since.reset();
+  else if (!connection.partial_message_since)
+    connection.partial_message_since = now_;
+  for (auto& message : messages) {
+    if (!server_connections_.contains(connection_id))
+      return;
+    on_server_message(connection_id, message);
+  }
+  if (error && server_connections_.contains(connection_id))
+    close_unreadable_connection(connection_id, *error);
+}
+
+// What else was under way on the connection can't be heard any more: an answer may be among what was not
+// understood, so a session of a set-up that was sent may stand. It is released, as the set-up counts as
+// failed.
+void Platform::close_unreadable_connection(ConnectionId connection_id, const std::string& cause) {
+  const auto& connection = server_connections_.at(connection_id);
+  const auto id = connection.server;
+  log("unreadable", {{"server", servers_[id].name}, {"cause", cause}});
+  std::vector<QueuedRelease> releases;
+  if (!connection.process_ended) {
+    for (const auto try_id : connection.tries) {
+      const auto& playback = playbacks_.at(try_id);
+      if (playback.sent)
+        releases.push_back(
+            {release_bytes(playback.call, cause::ended), {connection_id, connection.established_at}});
+    }
+  }
+  drop_server_connection(connection_id, Outcome::reset);
+  actions_->push_back(Close{connection_id, false});
+  for (auto& release : releases)
+    send_or_queue_release(id, std::move(release));
+  request_liveness_check(id);
+}
+
 void Platform::on_server_message(ConnectionId connection_id, ServerMessage& message) {
   auto& connection = server_connections_.at(connection_id);
   const auto id = connection.server;
--- a/src/platform/wire/server.cpp
+++ b/src/platform/wire/server.cpp
@@ -1,12 +1,19 @@
 #include "platform/wire/server.h"
 
+#include <algorithm>
+
 #include "platform_settings/platform_settings.h"
 
 namespace violettide::platform {
 
 namespace {
 
-constexpr std::size_t header_bytes = 1 + 8;  // type and call id
+constexpr std::size_t length_bytes = 2;
+constexpr std::size_t header_bytes = 1 + 8;            // type and call id
+constexpr std::size_t parameter_header_bytes = 1 + 2;  // type and length
+// The length of a message begins with a byte up to this, and no parameter has such a type: where one seems
+// to, the stated length of the message reaches into the next one.
+constexpr std::size_t max_first_length_byte = max_message_bytes >> 8;
 // Message types, with the platform's numbers.
 enum MessageType : std::uint8_t {
   set_up = 1,
@@ -89,20 +96,35 @@
   }
 }
 
-// Parses one message without its length. Returns what is wrong with a malformed one.
+// Returns what is wrong with the framing of a message, as far as it has been received. `received`: its bytes
+// without the length; `length`: how many they will be.
+std::optional<std::string> find_framing_error(std::string_view received, std::size_t length) {
+  if (!received.empty() && kind_of_type(to_byte(received[0])) == ServerMessage::Kind::other)
+    return "unknown message type";
+  for (auto offset = header_bytes; offset < std::min(length, received.size());) {
+    if (to_byte(received[offset]) <= max_first_length_byte)
+      return "the length reaches into the next message";
+    if (length - offset < parameter_header_bytes)
+      return "a parameter is truncated";
+    if (received.size() - offset < parameter_header_bytes)
+      break;
+    offset += parameter_header_bytes + read_length(received.substr(offset + 1));
+    if (offset > length)
+      return "a parameter is longer than its message";
+  }
+  return std::nullopt;
+}
+
+// Parses one message without its length, whose framing is valid. Returns what is wrong with a malformed one.
 std::optional<std::string> parse_message(std::string_view body, ServerMessage& message) {
   message.kind = kind_of_type(to_byte(body[0]));
   for (std::size_t i = 1; i < header_bytes; ++i)
     message.call = message.call << 8 | to_byte(body[i]);
   body.remove_prefix(header_bytes);
   while (!body.empty()) {
-    if (body.size() < 3)
-      return "a parameter is truncated";
     const auto code = to_byte(body[0]);
     const auto length = read_length(body.substr(1));
-    body.remove_prefix(3);
-    if (body.size() < length)
-      return "a parameter is longer than its message";
+    body.remove_prefix(parameter_header_bytes);
     const auto value = body.substr(0, length);
     body.remove_prefix(length);
     if (code == cause_code) {
@@ -127,8 +149,6 @@
     return "an answer has no description";
   if (message.kind == Kind::release && !message.cause)
     return "a release has no cause";
-  if (message.kind == Kind::other)
-    return "unknown message type";
   return std::nullopt;
 }
 
@@ -145,17 +165,21 @@
     partial_message_.shrink_to_fit();
     return std::optional<std::string>(std::move(error));
   };
-  while (partial_message_.size() - offset >= 2) {
-    const auto length = read_length(std::string_view(partial_message_).substr(offset));
+  while (partial_message_.size() - offset >= length_bytes) {
+    const auto rest = std::string_view(partial_message_).substr(offset);
+    const auto length = read_length(rest);
     if (length < header_bytes || length > max_message_bytes)
       return fail("message length out of range");
-    if (partial_message_.size() - offset < 2 + length)
+    const auto received = rest.substr(length_bytes, length);
+    if (auto error = find_framing_error(received, length))
+      return fail(*error);
+    if (received.size() < length)
       break;
     ServerMessage message;
-    if (auto error = parse_message(std::string_view(partial_message_).substr(offset + 2, length), message))
+    if (auto error = parse_message(received, message))
       return fail(*error);
     messages.push_back(std::move(message));
-    offset += 2 + length;
+    offset += length_bytes + length;
   }
   partial_message_.erase(0, offset);
   return std::nullopt;
--- a/src/platform/wire/server.h
+++ b/src/platform/wire/server.h
@@ -42,9 +42,11 @@
 // Splits one connection's bytes into messages.
 class ServerReader {
  public:
-  // Appends the messages that are complete. Returns a description of the first malformed message; the rest of
-  // the stream is then ignored.
+  // Appends the messages that are complete. Returns a description of the first malformed message, which may
+  // be incomplete; the rest of the stream is then ignored.
   std::optional<std::string> feed(std::string_view bytes, std::vector<ServerMessage>& messages);
+  // Whether the bytes so far end within a message.
+  bool has_partial_message() const { return !partial_message_.empty(); }
 
  private:
   std::string partial_message_;
--- a/tests/program/platform_wire_test.cpp
+++ b/tests/program/platform_wire_test.cpp
@@ -129,6 +129,28 @@
   }
 }
 
+// Guards against a wrong length that swallows the next message: whatever it is and however the bytes are split,
+// that message shows it.
+TEST(ServerMessages, AWrongLengthIsFoundByTheNextMessage) {
+  const auto right = message(9, parameter(174, "description"));
+  const auto next = message(12, parameter(171, "\x10"));
+  for (std::size_t length = 0; length < 1u << 16; ++length) {
+    if (length == right.size() - 2)
+      continue;
+    auto wrong = right;
+    wrong[0] = static_cast<char>(length >> 8);
+    wrong[1] = static_cast<char>(length & 255);
+    ServerReader reader;
+    std::vector<ServerMessage> read;
+    auto error = reader.feed(wrong + next.substr(0, 1), read);
+    if (!error)
+      error = reader.feed(next.substr(1), read);
+    ASSERT_TRUE(error) << length;
+    ASSERT_TRUE(read.empty()) << length;
+    ASSERT_FALSE(reader.has_partial_message()) << length;
+  }
+}
+
 TEST(ServerMessages, ASetUpCarriesWhatTheViewerSent) {
   EXPECT_EQ(setup_bytes({7, "paid", "title", "desc", 1200, 3}),
             message(1, parameter(129, "paid") + parameter(141, "title") + parameter(132, "1200") +
