Limit the time of a viewer's line on the platform from its first byte

A viewer that had sent one valid message held its connection for good with a byte of a next line now and then, as the limit of 2 s counted from the last byte.

Change: a line is whole 2 s after its first byte, or its connection ends; once requests before it are answered, which the old limit did not wait for. What both readers need to know of a partial message is kept in one place. A test holds that the command channel, followed by whole lines, asks again for an event that never becomes whole.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -290,24 +290,8 @@
     const auto updates = channel_.received(now_, event.bytes);
     return apply_server_lists(updates, false);
   }
-  if (const auto found = viewers_.find(event.connection); found != viewers_.end()) {
-    found->second.last_heard_at = now_;
-    std::vector<std::variant<ParseError, ViewerMessage>> messages;
-    found->second.reader.feed(event.bytes, messages);
-    for (auto& message : messages) {
-      const auto viewer = viewers_.find(event.connection);
-      if (viewer == viewers_.end() || viewer->second.overflowed)
-        return;
-      if (const auto* error = std::get_if<ParseError>(&message)) {
-        refuse_message(event.connection, error->call, error->message);
-        continue;
-      }
-      viewer->second.has_sent_message = true;
-      viewer->second.closing_since.reset();
-      on_viewer_message(event.connection, viewer->second, std::get<ViewerMessage>(message));
-    }
-    return;
-  }
+  if (viewers_.contains(event.connection))
+    return receive_from_viewer(event.connection, event.bytes);
   if (server_connections_.contains(event.connection))
     receive_from_server(event.connection, event.bytes);
 }
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -47,11 +47,12 @@
     ViewerReader reader;
     Duration accepted_at{0};
     Duration last_heard_at{0};
-    bool has_sent_message = false;          // at least one valid message
-    std::set<PlaybackId> unanswered;        // set-ups without an answer
-    std::size_t playing_count = 0;          // playbacks whose end is reported on this connection
-    std::size_t unsent_bytes = 0;           // passed to the runtime since its last Flushed
-    bool overflowed = false;                // reads nothing: closed at the end of the current event
+    std::optional<Duration> partial_message_since;  // its first byte
+    bool has_sent_message = false;                  // at least one valid message
+    std::set<PlaybackId> unanswered;                // set-ups without an answer
+    std::size_t playing_count = 0;                  // playbacks whose end is reported on this connection
+    std::size_t unsent_bytes = 0;                   // passed to the runtime since its last Flushed
+    bool overflowed = false;                        // reads nothing: closed at the end of the current event
     std::optional<Duration> closing_since;  // when the close was scheduled; a valid message cancels it
   };
   // A connection to a video server, or the dial of one.
@@ -139,6 +140,16 @@
     int use_count = 0;
   };
 
+  // Keeps the time of the first byte of the message that a connection's bytes end within. `completed`: the
+  // bytes that just came completed a message, so what is left of them has begun now.
+  template <typename Connection>
+  void update_partial_message_since(Connection& connection, bool completed) const {
+    if (completed || !connection.reader.has_partial_message())
+      connection.partial_message_since.reset();
+    if (connection.reader.has_partial_message() && !connection.partial_message_since)
+      connection.partial_message_since = now_;
+  }
+
   void on(const Accepted& event);
   void on(const Connected& event);
   void on(const Received& event);
@@ -157,6 +168,7 @@
 
   // ---- viewers ----
   void sweep_viewers();
+  void receive_from_viewer(ConnectionId connection, std::string_view bytes);
   void on_viewer_message(ConnectionId connection, ViewerConnection& viewer, ViewerMessage& message);
   void handle_offer(ConnectionId connection, ViewerConnection& viewer, ViewerMessage& message);
   std::optional<std::string> parse_offer(const ViewerMessage& message, Request& request,
--- a/src/platform/platform_servers.cpp
+++ b/src/platform/platform_servers.cpp
@@ -76,15 +76,11 @@
   connection.last_used_at = now_;
   std::vector<ServerMessage> messages;
   const auto error = connection.reader.feed(bytes, messages);
+  update_partial_message_since(connection, !messages.empty());
   if (!messages.empty()) {
     connection.last_heard_at = now_;
-    connection.partial_message_since.reset();
     record_server_activity(connection);
   }
-  if (!connection.reader.has_partial_message())
-    connection.partial_message_since.reset();
-  else if (!connection.partial_message_since)
-    connection.partial_message_since = now_;
   for (auto& message : messages) {
     if (!server_connections_.contains(connection_id))
       return;
--- a/src/platform/platform_viewers.cpp
+++ b/src/platform/platform_viewers.cpp
@@ -48,13 +48,35 @@
 void Platform::sweep_viewers() {
   for (auto& [connection, viewer] : viewers_) {
     const bool carries = !viewer.unanswered.empty() || viewer.playing_count > 0;
+    const bool overdue =
+        viewer.partial_message_since && now_ - *viewer.partial_message_since > message_timeout;
     if ((!viewer.has_sent_message && now_ - viewer.accepted_at > message_timeout) ||
-        (viewer.reader.has_partial_message() && now_ - viewer.last_heard_at > message_timeout) ||
+        (overdue && viewer.unanswered.empty()) ||  // requests before it are owed their answers
         (!carries && now_ - viewer.last_heard_at > viewer_idle_timeout))
       schedule_close(connection, viewer);
   }
 }
 
+void Platform::receive_from_viewer(ConnectionId connection, std::string_view bytes) {
+  auto& receiving = viewers_.at(connection);
+  receiving.last_heard_at = now_;
+  std::vector<std::variant<ParseError, ViewerMessage>> messages;
+  receiving.reader.feed(bytes, messages);
+  update_partial_message_since(receiving, !messages.empty());
+  for (auto& message : messages) {
+    const auto viewer = viewers_.find(connection);
+    if (viewer == viewers_.end() || viewer->second.overflowed)
+      return;
+    if (const auto* error = std::get_if<ParseError>(&message)) {
+      refuse_message(connection, error->call, error->message);
+      continue;
+    }
+    viewer->second.has_sent_message = true;
+    viewer->second.closing_since.reset();
+    on_viewer_message(connection, viewer->second, std::get<ViewerMessage>(message));
+  }
+}
+
 // Viewers normally use up to a third of the descriptors; the rest is for servers and the command channel.
 std::size_t Platform::max_viewer_connections() const { return config_.max_sockets / 2; }
 
--- a/tests/program/platform_partial_message_test.cpp
+++ b/tests/program/platform_partial_message_test.cpp
@@ -136,5 +136,73 @@
   EXPECT_EQ(take_sent(viewer), end_line(call_id, 16));
 }
 
+// Guards against viewers that hold their connection by a byte now and then, after a first valid message.
+TEST_F(PlatformPartialMessageTest, AViewersLineThatIsNeverWholeEndsItsConnection) {
+  accept_viewer();
+  receive(viewer, test_request());
+  advance(1s);
+  const auto begun = now;
+  while (!closed(viewer) && now < begun + 5s) {
+    receive(viewer, " ");
+    advance(100ms);
+  }
+  EXPECT_TRUE(closed(viewer));
+  EXPECT_GT(now - begun, viewer_limit);
+  EXPECT_LE(now - begun, viewer_limit + 2 * sweep + 20ms);  // 20 ms for a message to arrive
+}
+
+// A request before the line is owed its answer; a playback goes on without its viewer's connection.
+TEST_F(PlatformPartialMessageTest, WhatElseWasOnTheViewersConnectionIsSettled) {
+  const auto connection = start_playing_and_trying();
+  const auto hold_line = [this](Duration time) {
+    for (const auto until = now + time; now < until && !closed(viewer);) {
+      receive(viewer, "{");
+      advance(100ms);
+    }
+  };
+  hold_line(2500ms);
+  EXPECT_FALSE(closed(viewer));
+  receive(connection, accept(0xbb));
+  EXPECT_EQ(take_sent(viewer), accept_line(0xbb, "server says\r\n"));
+  hold_line(300ms);
+  EXPECT_TRUE(closed(viewer));
+  EXPECT_EQ(core->resource_counts().playbacks, 2u);
+  accept_viewer(viewer + 1);
+  receive(viewer + 1, test_request());
+  receive(connection, release(16));
+  EXPECT_EQ(count(take_sent(viewer + 1), end_line(call_id, 16)), 1u);
+}
+
+// A line in many pieces is taken if it is whole in time, also if there is always a piece of the next one.
+TEST_F(PlatformPartialMessageTest, AViewersLineThatIsCompletedInTimeIsTaken) {
+  accept_viewer();
+  const auto line = test_request();
+  receive(viewer, line.substr(0, 3));
+  for (int i = 0; i < 10; ++i) {
+    advance(900ms);
+    receive(viewer, line.substr(3) + line.substr(0, 3));
+  }
+  EXPECT_FALSE(closed(viewer));
+  EXPECT_EQ(count(take_sent(viewer), "tested"), 10u);
+}
+
+// The command channel is followed by whole lines: an event that never becomes whole is asked for again.
+TEST_F(PlatformPartialMessageTest, AnEventThatIsNeverWholeIsAskedForAgain) {
+  deliver(Connected{channel_connection});
+  take_sent(channel_connection);
+  const auto begun = now;
+  while (!closed(channel_connection) && now < begun + 5s) {
+    receive(channel_connection, R"({"cursor":2,"nodes":{)");
+    advance(100ms);
+  }
+  EXPECT_TRUE(closed(channel_connection));
+  EXPECT_LE(now - begun, 1800ms);
+  advance(300ms);
+  const auto next = take_dial("10.2.0.1");
+  ASSERT_NE(next, 0u);
+  deliver(Connected{next});
+  EXPECT_EQ(take_sent(next), "resume 1\n");
+}
+
 }  // namespace
 }  // namespace violettide::platform
