Close a connection between managers on which a frame never becomes whole

A frame whose length is too large takes the frames that follow for its rest, up to 64 KiB; a challenge that stops short leaves its connection without a word for good.

Change: a frame or a challenge has 1 s from its first bytes to its last, judged at the tick; the connection is closed with a warning and dialled again, and senders resend as after any failure. After a stall the input is read first.

--- a/src/manager/manager_seats.cpp
+++ b/src/manager/manager_seats.cpp
@@ -228,7 +228,8 @@
 void Manager::on_seats_tick() {
   start_timer(settings_.entitlement.tick_interval, TimerKind::seats_tick, 0);
   if (peers_) {
-    peers_->on_tick(now_, *actions_);
+    if (now_ >= stall_recovery_until_)  // after a stall of this process, input is read first
+      peers_->on_tick(now_, *actions_);
     on_peer_messages({});  // logs the warnings that have accumulated
   }
   if (!ledger_)
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -63,6 +63,7 @@
   outgoing.link = next_link_++;
   outgoing.challenged = false;
   outgoing.buffer.clear();
+  outgoing.partial_frame_since.reset();
   outgoing.frame_count = 0;
   // Doubles the delay until a challenge arrives, which shows that the connection works.
   outgoing.redial_pause = outgoing.redial_pause == Duration(0)
@@ -140,6 +141,7 @@
   auto& incoming = found->second;
   incoming.buffer.append(bytes);
   while (const auto frame_bytes = next_frame(incoming.buffer, settings_.max_frame_bytes, too_long)) {
+    incoming.partial_frame_since.reset();
     wire::Frame frame;
     wire::Body body;
     const auto sender = incoming.from ? " from " + settings_.managers[*incoming.from].name : std::string();
@@ -187,7 +189,40 @@
   dialed_.erase(dialed);
 }
 
+template <typename Link>
+bool Peers::is_overdue(Duration now, Link& link) const {
+  if (link.buffer.empty())
+    link.partial_frame_since.reset();
+  else if (!link.partial_frame_since)
+    link.partial_frame_since = now;
+  return link.partial_frame_since && now - *link.partial_frame_since > settings_.frame_timeout;
+}
+
+// Guards against taking the frames that follow for the rest of one that never becomes whole.
+void Peers::close_overdue(Duration now, std::vector<Action>& actions) {
+  std::vector<ConnectionId> overdue;
+  for (auto& [link, incoming] : incoming_) {
+    if (is_overdue(now, incoming))
+      overdue.push_back(link);
+  }
+  for (const auto link : overdue) {
+    const auto& from = incoming_.at(link).from;
+    reject(link,
+           "a frame was not completed in time" + (from ? " from " + settings_.managers[*from].name : ""),
+           actions);
+  }
+  for (PeerIndex to = 0; to < outgoing_.size(); ++to) {
+    auto& outgoing = outgoing_[to];
+    if (outgoing.link == 0 || outgoing.challenged || !is_overdue(now, outgoing))
+      continue;
+    warnings_.push_back("the challenge of " + settings_.managers[to].name + " was not completed in time");
+    actions.push_back(Close{outgoing.link, false});
+    on_closed(now, outgoing.link);
+  }
+}
+
 void Peers::on_tick(Duration now, std::vector<Action>& actions) {
+  close_overdue(now, actions);
   for (PeerIndex to = 0; to < outgoing_.size(); ++to) {
     if (outgoing_[to].link == 0 && !outgoing_[to].queue.empty() && now >= outgoing_[to].dial_at)
       dial(now, to, actions);
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -32,6 +32,7 @@
   Duration max_redial_delay{5'000'000};
   std::size_t max_queued = 4096;  // messages to one peer that wait for its connection
   std::size_t max_frame_bytes = 64 * 1024;
+  Duration frame_timeout{1'000'000};  // from the first bytes of a frame to its last
 };
 
 // A message whose MAC and frame count were checked.
@@ -57,7 +58,8 @@
   std::vector<ReceivedMessage> on_received(ConnectionId link, std::string_view bytes,
                                            std::vector<Action>& actions);
   void on_closed(Duration now, ConnectionId link);
-  // Dials the peers that have messages waiting and whose redial delay is over.
+  // Dials the peers that have messages waiting and whose redial delay is over, and closes connections on
+  // which a frame was not completed in time. To be called several times in the frame timeout.
   void on_tick(Duration now, std::vector<Action>& actions);
 
   // The causes of closed connections and dropped messages since the last call.
@@ -70,6 +72,7 @@
     bool challenged = false;
     std::string challenge;  // received from the peer
     std::string buffer;
+    std::optional<Duration> partial_frame_since;  // the first tick that saw part of the challenge
     std::uint64_t frame_count = 0;
     std::deque<std::pair<std::uint32_t, std::string>> queue;  // kind and payload
     Duration dial_at{0};                                      // not before
@@ -80,12 +83,16 @@
   struct Incoming {
     std::string challenge;  // sent to the peer
     std::string buffer;
-    std::optional<PeerIndex> from;  // known from the first frame on
+    std::optional<Duration> partial_frame_since;  // the first tick that saw part of the current frame
+    std::optional<PeerIndex> from;                // known from the first frame on
     std::uint64_t frame_count = 0;
   };
   std::string mac(std::string_view challenge, std::string_view body) const;
   void flush(PeerIndex to, std::vector<Action>& actions);
   void dial(Duration now, PeerIndex to, std::vector<Action>& actions);
+  void close_overdue(Duration now, std::vector<Action>& actions);
+  template <typename Link>
+  bool is_overdue(Duration now, Link& link) const;
   void reject(ConnectionId link, const std::string& cause, std::vector<Action>& actions);
 
   PeerSettings settings_;
--- a/tests/program/peers_test.cpp
+++ b/tests/program/peers_test.cpp
@@ -100,6 +100,58 @@
   EXPECT_EQ(b.take_warnings().size(), 2u);
 }
 
+// Guards against taking the frames that follow for the rest of one whose length is wrong.
+TEST_F(PeersTest, AFrameThatIsNeverWholeEndsItsConnection) {
+  a.send(0s, 1, 7, "one", actions);
+  const auto frames = connect();
+  const auto limit = settings_of(1).frame_timeout;
+  b.on_received(in, frames.at(0), actions);
+  b.on_received(in, std::string("\0\0\x40\0", 4) + "part", actions);
+  actions.clear();
+  Duration now = 1s;
+  const auto begun = now;
+  for (; !did<Close>(actions) && now < begun + 3 * limit; now += 100ms) {
+    b.on_received(in, "x", actions);
+    b.on_tick(now, actions);
+  }
+  EXPECT_TRUE(did<Close>(actions));
+  EXPECT_GT(now - begun, limit);
+  EXPECT_LE(now - begun, limit + 300ms);
+  EXPECT_EQ(b.take_warnings().at(0), "a frame was not completed in time from a");
+  EXPECT_FALSE(b.owns_link(in));
+}
+
+// The same for the challenge, after which the peer is dialled again and gets what waits.
+TEST_F(PeersTest, AChallengeThatIsNeverWholeIsAskedForAgain) {
+  a.send(0s, 1, 7, "one", actions);
+  std::vector<Action> challenge;
+  b.on_accepted(1s, in, challenge);
+  a.on_received(dialed, sent(challenge).at(0).substr(0, 20), actions);
+  actions.clear();
+  for (Duration now = 1s; now < 3s && !did<Dial>(actions); now += 100ms)
+    a.on_tick(now, actions);
+  EXPECT_TRUE(did<Close>(actions));
+  ASSERT_TRUE(did<Dial>(actions));
+  ++dialed;
+  EXPECT_EQ(connect(in + 1).size(), 1u);
+}
+
+// Frames that become whole in time are taken, also if there is always part of a next one.
+TEST_F(PeersTest, FramesThatAreCompletedInTimeAreTaken) {
+  for (int i = 0; i < 3; ++i)
+    a.send(0s, 1, 7, "message", actions);
+  const auto frames = connect();
+  Duration now = 1s;
+  std::size_t received = b.on_received(in, frames.at(0) + frames.at(1).substr(0, 3), actions).size();
+  for (std::size_t i = 1; i < frames.size(); ++i) {
+    for (int tick = 0; tick < 9; ++tick, now += 100ms)
+      b.on_tick(now, actions);
+    const auto next = i + 1 < frames.size() ? frames.at(i + 1).substr(0, 3) : std::string();
+    received += b.on_received(in, frames.at(i).substr(3) + next, actions).size();
+  }
+  EXPECT_EQ(received, 3u);
+}
+
 TEST_F(PeersTest, QueueToUnreachablePeerIsBoundedAndReported) {
   for (int i = 0; i < 10; ++i)
     a.send(0s, 1, 7, std::to_string(i), actions);
