Limit the time of a request at serve from its first byte to its last

A request that is never completed, silent or a byte now and then, held its connection for good; 10,000 of them shut all other viewers out.

Change: a viewer's request has 10 s, one at the control port 60 s, as batches are long; then it is answered with 408 and its connection closed. Connections that rest between requests are not concerned. After a stall the input is read first.

--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -170,6 +170,7 @@
 
 const std::optional<MessageError>& RequestParser::error() const { return error_; }
 std::size_t RequestParser::buffered_bytes() const { return buffer_.size(); }
+bool RequestParser::has_partial_request() const { return parser_ || !buffer_.empty(); }
 
 class ResponseParser::Parser : public Collector<false> {
   using Collector<false>::Collector;
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -61,6 +61,8 @@
   std::optional<Request> next();
   const std::optional<MessageError>& error() const;
   std::size_t buffered_bytes() const;  // received but not yet parsed
+  // Whether the bytes so far end within a request. Up to date after next() returned no request.
+  bool has_partial_request() const;
 
  private:
   class Parser;
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -198,6 +198,8 @@
       // Guards against a viewer that reads nothing occupying a connection to a box forever.
       log_event("viewer_stuck", {{"link", static_cast<std::int64_t>(timer.target)}});
       return close_viewer(timer.target, true);
+    case TimerKind::request_incomplete:
+      return on_request_timeout(timer.target);
     case TimerKind::shutdown_deadline:
       answer_waiting_viewers();
       actions_->push_back(StopLoop{});
@@ -265,6 +267,7 @@
   const ConnectionId connection = viewer.id;
   while (!viewer.busy) {
     if (auto request = viewer.reader.next()) {
+      timers_.cancel(viewer.request_timer);
       handle_request(viewer, std::move(*request));
       if (!viewer_connections_.contains(connection))
         return;
@@ -276,11 +279,33 @@
       return respond(viewer, error->status, error->cause + "\n");
     }
     if (viewer.half_closed || shutting_down_)
-      close_viewer(connection, false);
-    return;
+      return close_viewer(connection, false);
+    return await_rest_of_request(viewer);
   }
 }
 
+// Guards against viewers that use up the connections by requests that they never complete.
+void Manager::await_rest_of_request(ViewerConnection& viewer) {
+  if (viewer.reader.has_partial_request() && !timers_.is_pending(viewer.request_timer))
+    viewer.request_timer = start_timer(settings_.request_timeout, TimerKind::request_incomplete, viewer.id);
+}
+
+void Manager::on_request_timeout(ConnectionId connection) {
+  // Guards against blaming a client for a stall of this process: input that came during it is read first.
+  if (now_ < stall_recovery_until_)
+    return void(timers_.schedule(stall_recovery_until_, {TimerKind::request_incomplete, connection}));
+  if (const auto control = control_connections_.find(connection); control != control_connections_.end())
+    return on_control_request_timeout(*control->second);
+  const auto found = viewer_connections_.find(connection);
+  if (found == viewer_connections_.end() || found->second->busy ||
+      !found->second->reader.has_partial_request())
+    return;
+  auto& viewer = *found->second;
+  viewer.busy = viewer.close_after = true;
+  log_event("request_malformed", {{"status", std::int64_t{408}}, {"cause", std::string("incomplete")}});
+  respond(viewer, 408, "the request took too long\n");
+}
+
 void Manager::handle_request(ViewerConnection& viewer, http::Request request) {
   viewer.busy = true;
   viewer.retried = false;
@@ -501,6 +526,7 @@
   const auto viewer = std::move(found->second);
   viewer_connections_.erase(found);
   timers_.cancel(viewer->stall_timer);
+  timers_.cancel(viewer->request_timer);
   actions_->push_back(Close{connection, !reset});
   on_viewer_closed(*viewer);
   if (shutting_down_ && viewer_connections_.empty())
@@ -1157,6 +1183,7 @@
     const auto viewer = std::move(found->second);
     viewer_connections_.erase(found);
     timers_.cancel(viewer->stall_timer);
+    timers_.cancel(viewer->request_timer);
     on_viewer_closed(*viewer);
     if (shutting_down_ && viewer_connections_.empty())
       actions_->push_back(StopLoop{});
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -73,6 +73,7 @@
     playback_idle,        // a playback made no request for its idle timeout
     box_list_poll,        // the box list is due
     viewer_stalled,       // a viewer read nothing for too long
+    request_incomplete,   // a request of a viewer or at the control port was not completed in time
     shutdown_deadline,    // graceful shutdown took too long
     weighing_tick,        // period of the weighing of hints
     catalogue_feed_poll,  // the catalogue feed is due
@@ -102,6 +103,8 @@
 
   // ---- viewers ----
   void process_requests(ViewerConnection& viewer);
+  void await_rest_of_request(ViewerConnection& viewer);
+  void on_request_timeout(ConnectionId connection);
   void handle_request(ViewerConnection& viewer, http::Request request);
   void dispatch_to_playback(ViewerConnection& viewer);
   void close_viewer(ConnectionId connection, bool reset);
@@ -204,6 +207,8 @@
   // ---- the catalogue ----
   struct ControlConnection;
   void process_control_requests(ControlConnection& control);
+  void await_rest_of_control_request(ControlConnection& control);
+  void on_control_request_timeout(ControlConnection& control);
   void send_control_reply(ControlConnection& control, const cataloguewire::Reply& reply);
   void on_control_closed(ConnectionId connection);
   void execute_replica_actions(std::vector<catalogue::ReplicaAction> actions);
--- a/src/manager/manager_catalogue.cpp
+++ b/src/manager/manager_catalogue.cpp
@@ -30,10 +30,12 @@
     if (!request) {
       if (const auto& error = control.reader.error()) {
         control.close_after = true;
-        send_control_reply(control, {error->status, {{"Content-Type", "text/plain"}}, error->cause + "\n"});
+        return send_control_reply(control,
+                                  {error->status, {{"Content-Type", "text/plain"}}, error->cause + "\n"});
       }
-      return;
+      return await_rest_of_control_request(control);
     }
+    timers_.cancel(control.request_timer);
     control.busy = true;
     control.close_after = !request->keep_alive || shutting_down_;
     auto parsed =
@@ -62,6 +64,19 @@
   }
 }
 
+void Manager::await_rest_of_control_request(ControlConnection& control) {
+  if (control.reader.has_partial_request() && !timers_.is_pending(control.request_timer))
+    control.request_timer =
+        start_timer(settings_.control_request_timeout, TimerKind::request_incomplete, control.id);
+}
+
+void Manager::on_control_request_timeout(ControlConnection& control) {
+  if (control.busy || !control.reader.has_partial_request())
+    return;
+  control.close_after = true;
+  send_control_reply(control, {408, {{"Content-Type", "text/plain"}}, "the request took too long\n"});
+}
+
 // Replies to the pending request, and closes the connection if it is not to be kept alive.
 void Manager::send_control_reply(ControlConnection& control, const cataloguewire::Reply& reply) {
   const ConnectionId connection_id = control.id;
@@ -74,6 +89,7 @@
           reply.body});
   if (!control.close_after)
     return;
+  timers_.cancel(control.request_timer);
   actions_->push_back(Close{connection_id, true});
   control_connections_.erase(connection_id);
 }
@@ -83,6 +99,7 @@
   if (found == control_connections_.end())
     return;
   timers_.cancel(found->second->feed_wait_timer);
+  timers_.cancel(found->second->request_timer);
   actions_->push_back(Close{connection_id, false});
   control_connections_.erase(found);
 }
--- a/src/manager/manager_internal.h
+++ b/src/manager/manager_internal.h
@@ -39,6 +39,7 @@
   Duration received_at{0};  // arrival of the request
   std::size_t unsent_bytes = 0;
   Timers::Handle stall_timer;
+  Timers::Handle request_timer;  // runs while a request is partly received
 };
 
 // A connection to a box or, for the box list, the catalogue feed and token keys, to another service.
@@ -126,6 +127,7 @@
   bool close_after = false;
   std::optional<catalogue::Revision> feed_after;  // revision after which a long poll waits for changes
   Timers::Handle feed_wait_timer;
+  Timers::Handle request_timer;  // runs while a request is partly received
 };
 
 }  // namespace violettide::manager
--- a/src/manager/settings.h
+++ b/src/manager/settings.h
@@ -78,6 +78,9 @@
   Duration connect_timeout{250'000};
   // A playback without requests for this long, and for as long as its buffer lasts, is over.
   Duration idle_timeout{10'000'000};
+  // From the first byte of a request to its last, of viewers and at the control port, where batches are long.
+  Duration request_timeout{10'000'000};
+  Duration control_request_timeout{60'000'000};
   std::size_t max_connections_per_box = 256;
   std::size_t max_idle_connections_per_box = 16;
   std::size_t max_viewer_connections = 10'000;
@@ -93,9 +96,9 @@
   bool has_catalogue = false;
   catalogue::ReplicaConfig replica;
   std::string feed_address = "127.0.0.1";
-  std::uint16_t feed_port = 0;        // 0: changes come only through this manager's control port
-  Duration feed_wait{10'000'000};     // time that a long poll of the feed may wait for changes
-  std::size_t demand_capacity = 512;  // recordings whose demand is tracked
+  std::uint16_t feed_port = 0;                     // 0: changes come only through this manager's control port
+  Duration feed_wait{10'000'000};                  // time that a long poll of the feed may wait for changes
+  std::size_t demand_capacity = 512;               // recordings whose demand is tracked
   Duration demand_half_life{60'000'000};
 };
 
--- a/src/timerwheel/timer_wheel.h
+++ b/src/timerwheel/timer_wheel.h
@@ -41,16 +41,21 @@
 
   // Returns false if the timer has expired or was cancelled before.
   bool cancel(Handle handle) {
-    if (handle.index >= timers_.size())
-      return false;
-    auto& timer = timers_[handle.index];
-    if (!timer.pending || timer.generation != handle.generation)
+    if (!is_pending(handle))
       return false;
     remove(handle.index);
     release(handle.index);
     return true;
   }
 
+  // Whether the timer has neither expired nor been cancelled.
+  bool is_pending(Handle handle) const {
+    if (handle.index >= timers_.size())
+      return false;
+    const auto& timer = timers_[handle.index];
+    return timer.pending && timer.generation == handle.generation;
+  }
+
   // Moves on to `now` and appends the payloads of expired timers, by time and then by order of scheduling.
   // The caller may schedule and cancel timers afterwards; those scheduled in the past expire at a later call.
   void advance(Duration now, std::vector<Payload>& expired) {
