Bound what is held of a response or a chunk's line that never ends

The catalogue feed's response was held whole and measured at its end; the line that begins a chunk had no limit of length, in responses and requests.

Change: the feed is given up at 512 MiB while it comes; an unfinished line beyond the limit on heads is an error. Box list, feed and keys share one way of collecting a response, which stood three times.

--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -108,6 +108,17 @@
   return error;
 }
 
+// Guards against buffering an endless line: Beast checks its header limit only at the end of a line, and has
+// none for the lines between chunks. What it leaves in the buffer is part of a line. Returns what is wrong.
+template <typename Parser>
+std::optional<std::string> find_endless_line(const Parser& parser, const std::string& buffer,
+                                             const Limits& limits) {
+  if (parser.is_done() || buffer.size() <= limits.max_header_bytes)
+    return std::nullopt;
+  return parser.is_header_done() ? "a line of the body is longer than allowed"
+                                 : "the head is longer than allowed";
+}
+
 }  // namespace
 
 bool equals_ignoring_case(std::string_view a, std::string_view b) {
@@ -151,10 +162,9 @@
   if (!parser_)
     parser_ = std::make_unique<Parser>(limits_);
   error_ = feed(*parser_, buffer_);
-  if (!error_ && !parser_->is_done()) {
-    // Guards against buffering an endless line: Beast checks its header limit only at the end of a line.
-    if (!parser_->is_header_done() && buffer_.size() > limits_.max_header_bytes)
-      error_ = MessageError{431, "the head is longer than allowed"};
+  if (!error_) {
+    if (auto cause = find_endless_line(*parser_, buffer_, limits_))
+      error_ = MessageError{parser_->is_header_done() ? 400 : 431, std::move(*cause)};
   }
   if (error_) {
     buffer_.clear();
@@ -193,8 +203,8 @@
   const auto error = feed(*parser_, buffer_);
   if (error)
     return {{}, {}, false, error};
-  if (!parser_->is_header_done() && buffer_.size() > limits_.max_header_bytes)
-    return {{}, {}, false, MessageError{502, "the head is longer than allowed"}};
+  if (auto cause = find_endless_line(*parser_, buffer_, limits_))
+    return {{}, {}, false, MessageError{502, std::move(*cause)}};
   auto part = collect();
   if (part.done && !buffer_.empty())
     part.error = MessageError{502, "bytes after the end of the response"};
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -936,29 +936,9 @@
   }
   switch (connection.purpose) {
     case ConnectionPurpose::box_list:
-      connection.body += part.body;
-      if (connection.body.size() > max_list_bytes)
-        return on_box_list_response(connection, false);
-      if (part.head) {
-        const auto* etag = http::find(part.head->fields, "ETag");
-        if (etag && connection.status == 200)
-          box_list_etag_ = *etag;
-      }
-      if (part.done)
-        on_box_list_response(connection, true);
-      return;
     case ConnectionPurpose::catalogue_feed:
-      connection.body += part.body;
-      if (part.done)
-        on_catalogue_feed_response(connection, true);
-      return;
     case ConnectionPurpose::token_keys:
-      connection.body += part.body;
-      if (connection.body.size() > max_list_bytes)
-        return on_token_keys_response(connection, false);
-      if (part.done)
-        on_token_keys_response(connection, true);
-      return;
+      return collect_service_response(connection, part);
     case ConnectionPurpose::probe:
       if (part.head) {
         const auto cmsd = hints::parse_cmsd("", http::combined_value(part.head->fields, "CMSD-Dynamic"));
@@ -1231,12 +1211,8 @@
   const bool head_seen = connection.head_received, reused = connection.reused;
   const auto id = connection.playback_id;
   const auto viewer_id = connection.viewer_connection;
-  if (purpose == ConnectionPurpose::box_list)
-    return on_box_list_response(connection, false);
-  if (purpose == ConnectionPurpose::catalogue_feed)
-    return on_catalogue_feed_response(connection, false);
-  if (purpose == ConnectionPurpose::token_keys)
-    return on_token_keys_response(connection, false);
+  if (is_service(purpose))
+    return on_service_response(connection, false);
   close_box_connection(connection.id);
   if (purpose == ConnectionPurpose::probe) {
     if (!head_seen)
@@ -1314,9 +1290,7 @@
   auto& connection = *found->second;
   timers_.cancel(connection.response_timer);
   timers_.cancel(connection.connect_timer);
-  if (connection.purpose != ConnectionPurpose::box_list &&
-      connection.purpose != ConnectionPurpose::catalogue_feed &&
-      connection.purpose != ConnectionPurpose::token_keys) {
+  if (!is_service(connection.purpose)) {
     --open_connections_[connection.server];
     std::erase(idle_connections_[connection.server], id);
   }
@@ -1355,6 +1329,34 @@
   return connection;
 }
 
+bool Manager::is_service(ConnectionPurpose purpose) {
+  return purpose == ConnectionPurpose::box_list || purpose == ConnectionPurpose::catalogue_feed ||
+         purpose == ConnectionPurpose::token_keys;
+}
+
+// Guards against unbounded memory use by a response that never ends.
+void Manager::collect_service_response(BoxConnection& connection, const http::ResponseParser::Part& part) {
+  if (part.head && connection.purpose == ConnectionPurpose::box_list && connection.status == 200) {
+    if (const auto* etag = http::find(part.head->fields, "ETag"))
+      box_list_etag_ = *etag;
+  }
+  connection.body += part.body;
+  const auto max_bytes =
+      connection.purpose == ConnectionPurpose::catalogue_feed ? settings_.max_feed_bytes : max_list_bytes;
+  const bool too_long = connection.body.size() > max_bytes;
+  if (too_long || part.done)
+    on_service_response(connection, !too_long);
+}
+
+// `complete`: the whole body arrived.
+void Manager::on_service_response(BoxConnection& connection, bool complete) {
+  if (connection.purpose == ConnectionPurpose::box_list)
+    return on_box_list_response(connection, complete);
+  if (connection.purpose == ConnectionPurpose::catalogue_feed)
+    return on_catalogue_feed_response(connection, complete);
+  on_token_keys_response(connection, complete);
+}
+
 void Manager::on_box_list_response(BoxConnection& connection, bool complete) {
   box_list_pending_ = false;
   const auto body = std::move(connection.body);
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -142,6 +142,9 @@
   void on_try_succeeded(BoxConnection& connection, const http::ResponseHead* head);
   void on_try_failed(BoxConnection& connection, Outcome outcome, std::vector<LogField> extra_fields);
   void on_box_failure(BoxConnection& connection, Outcome outcome);
+  static bool is_service(ConnectionPurpose purpose);
+  void collect_service_response(BoxConnection& connection, const http::ResponseParser::Part& part);
+  void on_service_response(BoxConnection& connection, bool complete);
   void on_box_timeout(BoxConnection& connection);
   void release_connection(BoxConnection& connection, bool reusable);
   void close_box_connection(ConnectionId connection);
--- a/src/manager/manager_catalogue.cpp
+++ b/src/manager/manager_catalogue.cpp
@@ -8,7 +8,6 @@
 namespace violettide::manager {
 
 namespace {
-constexpr std::size_t max_feed_bytes = 512 * 1024 * 1024;
 // Utilization of its holders' links beyond which a recording should get more copies.
 constexpr double replication_utilization = 0.7;
 constexpr Duration typical_playback_length{30'000'000};
@@ -252,7 +251,7 @@
   const int status = connection.head_received ? connection.status : 0;
   close_box_connection(connection.id);
   const auto poll_again = [this](Duration delay) { start_timer(delay, TimerKind::catalogue_feed_poll, 0); };
-  if (!complete || (status != 200 && status != 410) || body.size() > max_feed_bytes) {
+  if (!complete || (status != 200 && status != 410)) {
     log_event("catalogue_feed_failed", {{"status", std::int64_t{status}}});
     return poll_again(jittered(settings_.box_list_interval));
   }
--- a/src/manager/settings.h
+++ b/src/manager/settings.h
@@ -98,6 +98,7 @@
   std::string feed_address = "127.0.0.1";
   std::uint16_t feed_port = 0;                     // 0: changes come only through this manager's control port
   Duration feed_wait{10'000'000};                  // time that a long poll of the feed may wait for changes
+  std::size_t max_feed_bytes = 512 * 1024 * 1024;  // of one response of the feed
   std::size_t demand_capacity = 512;               // recordings whose demand is tracked
   Duration demand_half_life{60'000'000};
 };
--- a/tests/program/partial_requests_test.cpp
+++ b/tests/program/partial_requests_test.cpp
@@ -31,6 +31,7 @@
     settings.box_list_port = list_port;
     settings.has_catalogue = true;
     settings.feed_port = feed_port;
+    settings.max_feed_bytes = 100'000;
     core = std::make_unique<Manager>(settings, 1, "",
                                      std::make_unique<ScriptedDecider>(&events, [](Duration, const Event&) {
                                        return std::vector<Command>{};
@@ -134,6 +135,19 @@
   EXPECT_TRUE(sent(client).starts_with("HTTP/1.1 408 "));
 }
 
+// Guards against holding in memory whatever the feed sends: its response was measured when it was whole.
+TEST_F(PartialRequestTest, AFeedThatNeverEndsIsGivenUpAtItsLimit) {
+  const auto feed = dialled(feed_port);
+  ASSERT_NE(feed, 0u);
+  deliver(Connected{feed});
+  receive(feed, "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n");
+  for (int i = 0; i < 11 && !closed(feed); ++i)
+    receive(feed, std::string(10'000, 'x'));
+  EXPECT_TRUE(closed(feed));
+  advance(1s);
+  EXPECT_NE(dialled(feed_port), feed) << "it is polled again";
+}
+
 // What the box list and the feed send slowly ends with their polls, whatever keeps coming.
 TEST_F(PartialRequestTest, ServicesThatSendSlowlyArePolledAgain) {
   for (const auto port : {list_port, feed_port}) {
@@ -148,5 +162,24 @@
   }
 }
 
+// Guards against a chunk's line that never ends: no limit on heads or bodies applies to it.
+TEST(PartialResponse, AChunkLineThatNeverEndsIsMalformed) {
+  http::ResponseParser parser;
+  parser.expect(false);
+  const auto head = parser.push("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  ASSERT_TRUE(head.head);
+  bool failed = false;
+  for (int i = 0; i < 100 && !failed; ++i)
+    failed = parser.push((i == 0 ? "5;x=" : "") + std::string(1000, 'x')).error.has_value();
+  EXPECT_TRUE(failed);
+  http::RequestParser requests;
+  requests.push("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5;x=");
+  for (int i = 0; i < 100 && !requests.error(); ++i) {
+    requests.push(std::string(1000, 'x'));
+    EXPECT_FALSE(requests.next());
+  }
+  EXPECT_TRUE(requests.error());
+}
+
 }  // namespace
 }  // namespace violettide::manager
