Hear a release on a connection made to a server under its predecessor's name

A server sends a release on any open connection; one that was dialled under the old name of its address, before the list told of the new process, leads to the new one too. The session manager acknowledged the release there and dropped it, as the playback belongs to another server.

Cause: on_release() compares the playback's server with the name the connection was dialled under.

Change: a connection of an ended process that was established after the successor's start knows its successor; a release on it counts for that server's playbacks.

--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -68,6 +68,7 @@
     bool process_ended = false;                   // leads to a process that the server has no more
     std::set<PlaybackId> tries;                   // sent, or waiting for the connection
     std::set<CallId> probes;
+    std::optional<ServerId> successor;  // with process_ended: the server that its process is listed as
     Duration last_used_at{0};  // the last bytes in either direction
   };
   // The connection that a playback was set up on, which leads to its process.
--- a/src/platform/platform_list.cpp
+++ b/src/platform/platform_list.cpp
@@ -86,6 +86,8 @@
       continue;  // leads to the new process
     retire(connection_id);
     connection.process_ended = true;
+    if (connection.established_at >= successor_started)
+      connection.successor = end.successor;
   }
   end_playbacks_of_process(end, successor_started);
 }
--- a/src/platform/platform_servers.cpp
+++ b/src/platform/platform_servers.cpp
@@ -195,7 +195,9 @@
     return;
   }
   auto& playback = playbacks_.at(known->second);
-  if (playback.server != id)
+  const bool from_successor = playback.state == Playback::State::playing &&
+                              server_connections_.at(connection_id).successor == playback.server;
+  if (playback.server != id && !from_successor)
     return;
   const bool believed = message.load && !server_connections_.at(connection_id).process_ended;
   const auto load = believed ? read_load_report(*message.load) : LoadReport{};
--- a/tests/program/platform_replacement_test.cpp
+++ b/tests/program/platform_replacement_test.cpp
@@ -69,6 +69,20 @@
 
 // ---- playbacks of the process that ended ----
 
+// Guards against ignoring a release that the new process sends on a connection which was made to it under the
+// old name, before the list told of it.
+TEST_F(PlatformReplacementTest, AReleaseOnAConnectionMadeUnderTheOldNameEndsThePlayback) {
+  const auto under_old_name = replace_process();
+  tell(new_server());
+  set_up("00000000000000bb", server_c);
+  const auto connection = connect_to(address_of_a);
+  receive(connection, accept(0xbb));
+  take_sent(viewer);
+  deliver(Disconnected{connection, CloseReason::reset});
+  receive(under_old_name, release(16, 0xbb));
+  EXPECT_EQ(take_sent(viewer), end_line(0xbb, 16));
+}
+
 // Guards against sessions that are never released: those of a dead server whose address a new one has taken.
 TEST_F(PlatformReplacementTest, ANewServerAtTheAddressEndsThePlaybacksOfTheOldOne) {
   const auto other = list_entry("s-b", "10.1.0.2", "Ready");
