Dial a server anew after a connection to it broke, and release what was out on it

An end whose release was on its way on a connection that became unreadable or was reset, beside another open one, was never told. And a session whose answer was lost with such a connection stood at its server for nobody, as its set-up was tried elsewhere.

Cause: a server sends its releases again on the next connection opened only; with another one open none was dialled. Set-ups that were sent on a connection that was reset ended without a release.

Change: whatever breaks a connection (reset, unreadable, overdue message), its server is dialled once more, also beside an open connection, for the 8 s in which an end can still be told; set-ups that were sent on it are released on the next connection, before a further one of the same playback. If its process is listed under another name by now, both go to that server.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -262,6 +262,7 @@
   record_server_activity(connection);
   if (server.pending_dial == event.connection)
     server.pending_dial = 0;
+  server.redial_until = Duration(0);
   if (server.connection && server.connection != event.connection) {
     const auto replaced = server.connection;
     const auto& old = server_connections_.at(replaced);
@@ -318,7 +319,9 @@
     record_local_dial_failure(id);
     return drop_server_connection(event.connection, Outcome::not_sent, Outcome::not_sent);
   }
-  drop_server_connection(event.connection, Outcome::reset);
+  const bool ended_in_order = event.reason == CloseReason::finished;
+  ended_in_order ? drop_server_connection(event.connection, Outcome::reset)
+                 : drop_broken_connection(event.connection);
   if (refused) {
     if (server.consecutive_dial_refusals++ == 0)
       server.first_dial_refusal_at = now_;
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -69,7 +69,7 @@
     std::set<PlaybackId> tries;                   // sent, or waiting for the connection
     std::set<CallId> probes;
     std::optional<ServerId> successor;  // with process_ended: the server that its process is listed as
-    Duration last_used_at{0};  // the last bytes in either direction
+    Duration last_used_at{0};           // the last bytes in either direction
   };
   // The connection that a playback was set up on, which leads to its process.
   struct SetUpPath {
@@ -91,6 +91,7 @@
     Duration last_heard_at{0};
     std::optional<Duration> unanswered_dial_at;  // the first dial since the server was last heard
     Duration next_dial_at{0};
+    Duration redial_until{0};           // until then it is dialled also beside an open connection
     int consecutive_dial_refusals = 0;  // of dials, since the server was last heard
     Duration first_dial_refusal_at{0};
   };
@@ -188,6 +189,7 @@
   void sweep_servers();
   void close_expired_connections();
   void close_unreadable_connection(ConnectionId connection, const std::string& cause);
+  void drop_broken_connection(ConnectionId connection);
   std::vector<ConnectionId> connections_with_overdue_message() const;
   ServerId server_id(const std::string& name);
   // Which connections may be closed to make room for a dial.
--- a/src/platform/platform_connections.cpp
+++ b/src/platform/platform_connections.cpp
@@ -281,12 +281,12 @@
     dial_for_liveness(id);
 }
 
-// Whether a server with playbacks has no connection, or has been silent on it for too long.
+// Whether a server with playbacks has no connection, has lost one, or has been silent for too long.
 bool Platform::is_redial_due(ServerId id) const {
   const auto& server = servers_[id];
   // With servers waiting for room, one that is connected is not dialled for more than they are.
   const auto longest_silence = waiting_servers_.empty() ? redial_after_silence : max_silence_without_room;
-  return !server.connection || now_ - server.last_heard_at > longest_silence;
+  return !server.connection || now_ < server.redial_until || now_ - server.last_heard_at > longest_silence;
 }
 
 // Dials the server if there is room, or takes the place of another connection if the server has been silent
--- a/src/platform/platform_servers.cpp
+++ b/src/platform/platform_servers.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t max_unmatched_releases = 4096;
+// The end of a playback is to be reported by then, so dialling for it is of no use any more.
+constexpr Duration end_report_limit = std::chrono::seconds(8);
 
 Outcome outcome_before_answer(int cause) {
   if (cause == cause::full)
@@ -90,27 +92,34 @@
     close_unreadable_connection(connection_id, *error);
 }
 
-// What else was under way on the connection can't be heard any more: an answer may be among what was not
-// understood, so a session of a set-up that was sent may stand. It is released, as the set-up counts as
-// failed.
 void Platform::close_unreadable_connection(ConnectionId connection_id, const std::string& cause) {
-  const auto& connection = server_connections_.at(connection_id);
-  const auto id = connection.server;
+  const auto id = server_connections_.at(connection_id).server;
   log("unreadable", {{"server", servers_[id].name}, {"cause", cause}});
+  drop_broken_connection(connection_id);
+  actions_->push_back(Close{connection_id, false});
+}
+
+// What was under way on the connection can't be heard any more. A session of a set-up that was sent may
+// stand: it is released, as the set-up counts as failed. The server may have sent the release of a playback,
+// which it sends again on the next connection: one is dialled even if another is open.
+void Platform::drop_broken_connection(ConnectionId connection_id) {
+  const auto& connection = server_connections_.at(connection_id);
+  const auto process = connection.process_ended ? connection.successor : connection.server;
+  const SetUpPath path{connection_id, connection.established_at};
   std::vector<QueuedRelease> releases;
-  if (!connection.process_ended) {
-    for (const auto try_id : connection.tries) {
-      const auto& playback = playbacks_.at(try_id);
-      if (playback.sent)
-        releases.push_back(
-            {release_bytes(playback.call, cause::ended), {connection_id, connection.established_at}});
-    }
+  for (const auto id : connection.tries) {
+    if (const auto& playback = playbacks_.at(id); playback.sent && process)
+      releases.push_back({release_bytes(playback.call, cause::ended), path});
   }
+  const bool established = connection.established;
   drop_server_connection(connection_id, Outcome::reset);
-  actions_->push_back(Close{connection_id, false});
+  if (!process)
+    return;
+  if (established)
+    servers_[*process].redial_until = now_ + end_report_limit;
   for (auto& release : releases)
-    send_or_queue_release(id, std::move(release));
-  request_liveness_check(id);
+    send_or_queue_release(*process, std::move(release));
+  request_liveness_check(*process);
 }
 
 void Platform::on_server_message(ConnectionId connection_id, ServerMessage& message) {
--- a/tests/program/platform_connections_test.cpp
+++ b/tests/program/platform_connections_test.cpp
@@ -82,6 +82,62 @@
             1u);
 }
 
+// Guards against never hearing a release that was on its way on a connection that broke, if another one to
+// its server is open: the server sends it again on the next connection only.
+TEST_F(PlatformConnectionsTest, ABrokenConnectionIsFollowedByANewOneBesideAnOpenOne) {
+  for (const bool unreadable : {true, false}) {
+    make_core(256);
+    tries = 0;
+    const auto old = start_playing();
+    tries = 0;
+    set_up_always_at(0, 5s);
+    receive(viewer, offer("00000000000000bb"));  // keeps the old connection open
+    advance(2200ms);
+    connect_to("10.1.0.1");
+    advance(300ms);
+    ASSERT_EQ(take_dial("10.1.0.1"), 0u);
+    unreadable ? receive(old, "no message") : deliver(Disconnected{old, CloseReason::reset});
+    advance(600ms);
+    const auto next = connect_to("10.1.0.1");
+    receive(next, release(16));
+    EXPECT_EQ(count(take_sent(viewer), end_line(call_id, 16)), 1u);
+    advance(1500ms);
+    EXPECT_EQ(take_dial("10.1.0.1"), 0u) << "one is enough";
+  }
+}
+
+// Guards against a session that stands for nobody: the answer to its set-up may have been lost with the
+// connection, and the set-up is tried elsewhere.
+TEST_F(PlatformConnectionsTest, ASetUpThatWasOutOnABrokenConnectionIsReleased) {
+  set_up_always_at(0);
+  accept_viewer();
+  receive(viewer, offer());
+  const auto connection = connect_to("10.1.0.1");
+  tries = 0;
+  set_up_always_at(1);
+  deliver(Disconnected{connection, CloseReason::reset});
+  EXPECT_EQ(last_outcome(), Outcome::reset);
+  EXPECT_EQ(take_sent(connect_to("10.1.0.1")), release_bytes(call_id, 16));
+  connect_to("10.1.0.2");
+}
+
+// A server that has died is not dialled for long.
+TEST_F(PlatformConnectionsTest, AReleaseForAServerThatRefusesTwiceIsGivenUp) {
+  set_up_always_at(0);
+  accept_viewer();
+  receive(viewer, offer());
+  const auto connection = connect_to("10.1.0.1");
+  decide = nullptr;
+  deliver(Disconnected{connection, CloseReason::reset});
+  for (int i = 0; i < 2; ++i) {
+    deliver(Disconnected{take_dial("10.1.0.1"), CloseReason::refused});
+    advance(600ms);
+  }
+  take_dial("10.1.0.1");
+  advance(3s);
+  EXPECT_EQ(take_dial("10.1.0.1"), 0u);
+}
+
 // Each server has one playback that is handed over at the start; there is not room for a connection to each.
 // Servers say nothing by themselves, accept a dial after 2 ms, and send the release of a playback that has
 // ended on the connection they have, and on the next one.
--- a/tests/program/platform_wire_test.cpp
+++ b/tests/program/platform_wire_test.cpp
@@ -129,8 +129,8 @@
   }
 }
 
-// Guards against a wrong length that swallows the next message: whatever it is and however the bytes are split,
-// that message shows it.
+// Guards against a wrong length that swallows the next message: whatever it is and however the bytes are
+// split, that message shows it.
 TEST(ServerMessages, AWrongLengthIsFoundByTheNextMessage) {
   const auto right = message(9, parameter(174, "description"));
   const auto next = message(12, parameter(171, "\x10"));
