Let the soak of the platform's session manager draw few descriptors and spoilt answers

Change: half of the seeds have 24 servers and room for 12 connections, half of them answers whose length is too large; those with either alternate set-ups with lulls. Servers end sessions, and send each release on the connection of its set-up, or else on any open one, and again on the next; it is to be told within 1 s of its release or 8 s of its end. A connection whose sending is finished ends some milliseconds later. A session that was cut at one server and plays at another by then no longer counts as cut. One viewer's connection stays, as an end can't be told without any. Every check and bound is kept; the seeds are 1 to 100 as before.

--- a/tests/program/platform_soak_test.cpp
+++ b/tests/program/platform_soak_test.cpp
@@ -1,7 +1,8 @@
 // A seeded simulation around the platform's session manager: viewers that end sessions, leave or read
-// nothing, and server processes that die, vanish and are replaced at their address, under the same name or a
-// new one, of which the list tells late and in any order. The network and the clock are in memory; the policy
-// decides.
+// nothing, servers that end sessions, and server processes that die, vanish and are replaced at their
+// address, under the same name or a new one, of which the list tells late and in any order. In half of the
+// seeds there are more servers than connections, and in half of them some answers never become whole. The
+// network and the clock are in memory; the policy decides.
 //
 // SOAK_SEEDS=N in the environment plays N seeds in place of the usual ones, SOAK_FIRST_SEED=N begins at
 // another one.
@@ -19,13 +20,16 @@
 
 constexpr Duration day_length{40s}, quiet_length{45s};
 constexpr Duration step{5ms};
+constexpr Duration busy_time{4s}, lull_time{14s};
 constexpr Duration viewer_patience{1500ms};
 // Until the list tells of a start, and of an end.
 constexpr Duration min_list_delay{600ms}, max_start_delay{2200ms}, max_end_delay{3500ms};
-// For an end that no release tells: 8 s, and each time limit 50 ms longer.
-constexpr Duration release_limit{8050ms};
-constexpr int address_count = 6;
-constexpr std::size_t flood_lines = 6000;  // more than a connection buffers
+// For an end that no release tells: 8 s, else 1 s, and each time limit 50 ms longer.
+constexpr Duration end_limit{8050ms}, release_limit{1050ms};
+constexpr int usual_address_count = 6, crowded_address_count = 24;
+constexpr std::size_t usual_sockets = 512,
+                      crowded_sockets = 96;  // the latter leave 12 connections for servers
+constexpr std::size_t flood_lines = 6000;    // more than a connection buffers
 
 std::string hex(CallId call) {
   char text[17];
@@ -63,14 +67,18 @@
 
 class Soak {
  public:
-  explicit Soak(std::uint32_t seed) : random_(seed) {
-    for (int i = 0; i < address_count; ++i) {
+  explicit Soak(std::uint32_t seed)
+      : random_(seed),
+        crowded_(chance(50)),
+        spoils_answers_(chance(50)),
+        address_count_(crowded_ ? crowded_address_count : usual_address_count) {
+    for (int i = 0; i < address_count_; ++i) {
       places_.emplace_back();
       start_process(i, "s-" + std::to_string(i), 0);
     }
     PlatformConfig config;
     config.seed = seed;
-    config.max_sockets = 512;
+    config.max_sockets = crowded_ ? crowded_sockets : usual_sockets;
     config.plans = {"plan"};
     config.abandon_times = {1800ms};
     config.policy = policy_settings();
@@ -79,11 +87,12 @@
     config.idle_timeout = 15s;
     config.channel = Endpoint{channel_address, 7070};
     std::string entries;
-    for (int i = 0; i < address_count; ++i)
+    for (int i = 0; i < address_count_; ++i)
       entries += (i ? "," : "") + entry(i, processes_[places_[i].process].name, "Ready", 0);
     config.known_events = R"({"cursor":1,"cmds":[)" + list_event(entries) + "]}";
     core_ = std::make_unique<Platform>(config, nullptr);
     deliver(TimerFired{});
+    steady_viewer_ = open_viewer();
   }
 
   // Returns the first fault, or nothing.
@@ -104,6 +113,7 @@
     int place = 0;
     bool alive = true;
     std::set<CallId> sessions;
+    std::set<CallId> untold_ends;  // sent on each new connection until the manager has heard them
   };
   struct Place {  // an address, and the process that listens there
     std::size_t process = 0;
@@ -113,6 +123,7 @@
     std::size_t process = 0;
     bool established = false;
     bool silent = false;  // its machine has vanished
+    bool spoilt = false;  // an answer on it has not become whole
     std::string unread;
   };
   struct Session {
@@ -121,6 +132,10 @@
     bool answered = false, plays = false;
     bool ended_by_viewer = false, viewer_left = false;
     std::optional<Duration> cut_at;
+    std::size_t process = 0;  // that it was set up at
+    ConnectionId set_up_on = 0;
+    std::optional<Duration> ended_at;  // by its server
+    Duration end_limit{0};
   };
   struct Viewer {
     bool open = true, reads = true;
@@ -152,6 +167,7 @@
     if (now_ >= next_heartbeat_ && channel_ != 0) {
       next_heartbeat_ = now_ + 1s;
       deliver(Received{channel_, R"({"cursor":)" + std::to_string(event_count_) + "}\n"});
+      send_test();
     }
     deliver(TimerFired{});
   }
@@ -182,6 +198,13 @@
     found->second.process = places_[place].process;
     found->second.established = true;
     deliver(Connected{connection});
+    const auto untold = processes_[places_[place].process].untold_ends;
+    for (const auto call : untold)
+      send_to_core(connection, server_message(12, call, cause_parameter(16)));
+  }
+  void send_to_core(ConnectionId connection, const std::string& bytes) {
+    if (links_.contains(connection))
+      deliver(Received{connection, bytes});
   }
   void carry_out(const Send& send) {
     if (const auto link = links_.find(send.connection); link != links_.end())
@@ -196,6 +219,16 @@
     if (close.connection == channel_)
       channel_ = 0;
   }
+  void carry_out(const FinishSending& finish) {
+    const auto connection = finish.connection;
+    after(draw_span(1ms, 20ms), [=, this] {
+      const auto link = links_.find(connection);
+      if (link == links_.end() || link->second.silent)
+        return;
+      links_.erase(link);
+      deliver(HalfClosed{connection});
+    });
+  }
   void carry_out(const DrainInput&) {
     after(0ms, [this] { deliver(InputDrained{}); });
   }
@@ -219,7 +252,7 @@
   }
   void start_process(int place, const std::string& name, std::int64_t since_ms) {
     places_[static_cast<std::size_t>(place)] = {processes_.size(), false};
-    processes_.push_back({name, place, true, {}});
+    processes_.push_back({name, place, true, {}, {}});
     if (since_ms == 0)
       return;
     after(draw_span(min_list_delay, max_start_delay),
@@ -233,7 +266,9 @@
       return;
     old.alive = false;
     for (const auto call : std::exchange(old.sessions, {})) {
-      if (const auto session = sessions_.find(call); session != sessions_.end())
+      const auto session = sessions_.find(call);
+      if (session != sessions_.end() &&
+          session->second.process == index)  // not one that it has since moved to
         session->second.cut_at = now_;
     }
     std::vector<ConnectionId> reset;
@@ -278,6 +313,8 @@
         answer_probe(connection, link.process, call);
       else if (body[0] == 12)
         processes_[link.process].sessions.erase(call);
+      else if (body[0] == 16)
+        processes_[link.process].untold_ends.erase(call);
     }
   }
   // Delivers what `answer` returns if the connection and the process stand by then.
@@ -290,13 +327,62 @@
   }
   void answer_set_up(ConnectionId connection, std::size_t process, CallId call) {
     const bool full = chance(10);
+    const bool spoilt = spoils_answers_ && now_ < day_length && chance(4);
     answer_later(connection, process, [=, this] {
       if (full)
         return server_message(12, call, cause_parameter(34));
+      if (spoilt)
+        return spoilt_answer(connection, call);
       processes_[process].sessions.insert(call);
+      auto& session = sessions_[call];
+      session.process = process;
+      session.set_up_on = connection;
+      session.cut_at.reset();  // an earlier set-up of it may have been cut, unknown to the manager
       return server_message(9, call, std::string("\xae\0\2ok", 5));
     });
   }
+  // An answer that states more bytes than follow; its session is over. In half of them the description states
+  // more, too, so that it may hold anything.
+  std::string spoilt_answer(ConnectionId connection, CallId call) {
+    links_.at(connection).spoilt = true;
+    auto bytes = server_message(9, call, std::string("\xae\0\2ok", 5));
+    const auto description_at = bytes.size() - 4;  // its length
+    const int added = 200 + draw(15'000);
+    const auto add = [&](std::size_t at) {
+      const int stated =
+          (static_cast<unsigned char>(bytes[at]) << 8 | static_cast<unsigned char>(bytes[at + 1])) + added;
+      bytes[at] = static_cast<char>(stated >> 8);
+      bytes[at + 1] = static_cast<char>(stated & 255);
+    };
+    add(0);
+    if (chance(50))
+      add(description_at);
+    return bytes;
+  }
+  // A session comes to its end at its server, which sends a release on the connection of its set-up, or else
+  // on any open one.
+  void end_at_server(CallId call) {
+    auto& session = sessions_.at(call);
+    auto& process = processes_[session.process];
+    if (!process.alive || process.sessions.erase(call) == 0)
+      return;
+    process.untold_ends.insert(call);
+    session.ended_at = now_;
+    session.end_limit = end_limit;
+    std::vector<ConnectionId> open;
+    for (const auto& [connection, link] : links_) {
+      if (link.established && !link.silent && link.process == session.process)
+        open.push_back(connection);
+    }
+    if (open.empty())
+      return;
+    const bool is_open = std::find(open.begin(), open.end(), session.set_up_on) != open.end();
+    const auto other = open[static_cast<std::size_t>(draw(static_cast<int>(open.size())))];
+    const auto connection = is_open ? session.set_up_on : other;
+    if (!links_.at(connection).spoilt)
+      session.end_limit = release_limit;
+    send_to_core(connection, server_message(12, call, cause_parameter(16)));
+  }
   void answer_probe(ConnectionId connection, std::size_t process, CallId call) {
     answer_later(connection, process, [=] { return server_message(53, call, cause_parameter(1)); });
   }
@@ -318,10 +404,20 @@
       return open_viewer();
     return open[static_cast<std::size_t>(draw(static_cast<int>(open.size())))];
   }
+  // Not the one that stays.
+  ConnectionId any_other_viewer() {
+    const auto connection = any_viewer();
+    return connection == steady_viewer_ ? open_viewer() : connection;
+  }
+  // Keeps one connection open on which ends can be told.
+  void send_test() {
+    deliver(Received{steady_viewer_,
+                     std::string(R"({"op":"test","call":"0000000000000001","with":{},"why":0})") + "\n"});
+  }
   void offer() {
     const auto connection = any_viewer();
     const auto call = CallId{random_()} << 32 | random_();
-    sessions_[call] = {connection, now_, false, false, false, false, std::nullopt};
+    sessions_[call] = Session{.viewer = connection, .offered_at = now_};
     const auto line = R"({"op":"offer","call":")" + hex(call) +
                       R"(","with":{"class":"plan","left":"1500","key":"t)" + std::to_string(draw(20)) +
                       R"(","extras":"home:0;copies:2;top:1"},"desc":"d"})" + "\n";
@@ -384,18 +480,22 @@
 
   // ---- the day ----
   void disturb() {
-    if (happens(100))
+    if (happens(has_lulls() ? 250 : 100) && !is_lull())
       offer();
-    if (happens(4))
-      replace_process(draw(address_count), chance(15));
-    if (happens(3) && !links_.empty())
+    for (const auto connection : chattering_links())
+      send_note(connection);
+    if (!is_lull() && happens(4))
+      replace_process(draw(address_count_), chance(15));
+    if (!is_lull() && happens(3) && !links_.empty())
       reset_a_connection();
-    if (happens(40))
+    if (happens(has_lulls() ? 10 : 30))
       end_some_session();
+    if (happens(20))
+      end_some_session_at_its_server();
     if (happens(3))
-      leave(any_viewer());
+      leave(any_other_viewer());
     if (happens(1))
-      flood(any_viewer());
+      flood(any_other_viewer());
     check_sessions();
   }
   void reset_a_connection() {
@@ -417,6 +517,38 @@
     if (!from.empty())
       end_session(from[static_cast<std::size_t>(draw(static_cast<int>(from.size())))]);
   }
+  // Without set-ups for a time, connections are made for what plays alone.
+  bool has_lulls() const { return crowded_ || spoils_answers_; }
+  bool is_lull() const { return has_lulls() && now_ % (busy_time + lull_time) >= busy_time; }
+  std::vector<ConnectionId> chattering_links() {
+    std::vector<ConnectionId> found;
+    for (const auto& [connection, link] : links_) {
+      if (link.established && !link.silent && happens(10))
+        found.push_back(connection);
+    }
+    return found;
+  }
+  // A note on a session, so that the connection is not silent.
+  void send_note(ConnectionId connection) {
+    const auto link = links_.find(connection);
+    if (link == links_.end())
+      return;
+    const auto& sessions = processes_[link->second.process].sessions;
+    const auto call = sessions.empty() ? CallId{0} : *sessions.begin();
+    send_to_core(connection, server_message(44, call,
+                                            std::string("\x96\0\7kept_up\xa5\0\1"
+                                                        "1",
+                                                        14)));
+  }
+  void end_some_session_at_its_server() {
+    std::vector<CallId> playing;
+    for (const auto& [call, session] : sessions_) {
+      if (session.plays && !session.ended_by_viewer && !session.cut_at && !session.ended_at)
+        playing.push_back(call);
+    }
+    if (!playing.empty())
+      end_at_server(playing[static_cast<std::size_t>(draw(static_cast<int>(playing.size())))]);
+  }
   void check_sessions() {
     for (auto session = sessions_.begin(); session != sessions_.end();) {
       const auto& [call, state] = *session;
@@ -424,8 +556,11 @@
           now_ > state.offered_at + viewer_patience + 500ms)
         fail("no answer", call);
       if (state.plays && state.cut_at && !state.ended_by_viewer && !state.viewer_left &&
-          now_ > *state.cut_at + release_limit)
+          now_ > *state.cut_at + end_limit)
         fail("never released, cut at " + std::to_string(state.cut_at->count()), call);
+      if (state.plays && state.ended_at && !state.ended_by_viewer && !state.viewer_left &&
+          now_ > *state.ended_at + state.end_limit)
+        fail("not told of its end at " + std::to_string(state.ended_at->count()), call);
       const bool over = state.answered && !state.plays && now_ > state.offered_at + 20s;
       session = over ? sessions_.erase(session) : std::next(session);
     }
@@ -456,6 +591,9 @@
   }
 
   std::mt19937 random_;
+  const bool crowded_;         // more servers than connections
+  const bool spoils_answers_;  // some never become whole
+  const int address_count_;
   Duration now_{0};
   std::multimap<Duration, std::function<void()>> scheduled_;
   std::unique_ptr<Platform> core_;
@@ -465,6 +603,7 @@
   std::map<ConnectionId, Viewer> viewers_;
   std::map<CallId, Session> sessions_;
   ConnectionId next_viewer_ = first_accepted;
+  ConnectionId steady_viewer_ = 0;
   ConnectionId channel_ = 0;
   Duration next_heartbeat_{0};
   int event_count_ = 0, renamed_count_ = 0;
