--- a/tests/program/platform_connections_test.cpp
+++ b/tests/program/platform_connections_test.cpp
@@ -174,7 +174,7 @@
   void pass(Duration time) {
     for (const auto until = now + time; now < until;) {
       now += 2ms;
-      for (const auto& event : std::exchange(pending, {}))
+      for (const auto& event : std::exchange(pending_, {}))
         deliver_at_server(event);
       deliver(TimerFired{});
       take_actions();
@@ -207,9 +207,9 @@
   // Those that have not yet learned that the manager sends no more on their connection.
   std::vector<int> servers_about_to_be_finished() const {
     std::vector<int> found;
-    for (const auto& event : pending) {
-      const auto index = server_of.find(event.connection);
-      if (event.kind != Pending::Kind::finish || index == server_of.end())
+    for (const auto& event : pending_) {
+      const auto index = server_of_.find(event.connection);
+      if (event.kind != Pending::Kind::finish || index == server_of_.end())
         continue;
       const auto& server = servers[static_cast<std::size_t>(index->second)];
       if (!server.ended_at && server.connections.size() == 1)
@@ -239,15 +239,15 @@
     ConnectionId connection;
   };
   void deliver_at_server(const Pending& event) {
-    const auto index = server_of.find(event.connection);
-    if (index == server_of.end())
+    const auto index = server_of_.find(event.connection);
+    if (index == server_of_.end())
       return;  // closed meanwhile
     auto& server = servers[static_cast<std::size_t>(index->second)];
     if (server.vanished)
       return;
     if (event.kind == Pending::Kind::finish) {
       std::erase(server.connections, event.connection);
-      server_of.erase(index);
+      server_of_.erase(index);
       return deliver(HalfClosed{event.connection});
     }
     server.connections.push_back(event.connection);
@@ -258,14 +258,14 @@
   void take_actions() {
     for (const auto& action : std::exchange(actions, {})) {
       if (const auto* dial = std::get_if<Dial>(&action); dial && dial->address.starts_with("10.3.0.")) {
-        server_of[dial->connection] = std::stoi(dial->address.substr(7));
-        pending.push_back({Pending::Kind::dial, dial->connection});
+        server_of_[dial->connection] = std::stoi(dial->address.substr(7));
+        pending_.push_back({Pending::Kind::dial, dial->connection});
       } else if (const auto* finish = std::get_if<FinishSending>(&action)) {
-        pending.push_back({Pending::Kind::finish, finish->connection});
+        pending_.push_back({Pending::Kind::finish, finish->connection});
       } else if (const auto* close = std::get_if<Close>(&action)) {
-        if (const auto found = server_of.find(close->connection); found != server_of.end()) {
+        if (const auto found = server_of_.find(close->connection); found != server_of_.end()) {
           std::erase(servers[static_cast<std::size_t>(found->second)].connections, close->connection);
-          server_of.erase(found);
+          server_of_.erase(found);
         }
       } else if (const auto* send = std::get_if<Send>(&action)) {
         take_sent_bytes(*send);
@@ -285,8 +285,8 @@
       }
     }
   }
-  std::map<ConnectionId, int> server_of;
-  std::vector<Pending> pending;
+  std::map<ConnectionId, int> server_of_;
+  std::vector<Pending> pending_;
 };
 
 // Guards against servers that never get a connection while others hold theirs: the ends of their playbacks
--- a/tests/program/platform_soak_test.cpp
+++ b/tests/program/platform_soak_test.cpp
@@ -591,9 +591,9 @@
   }
 
   std::mt19937 random_;
-  const bool crowded_;         // more servers than connections
-  const bool spoils_answers_;  // some never become whole
-  const int address_count_;
+  bool crowded_;         // more servers than connections
+  bool spoils_answers_;  // some never become whole
+  int address_count_;
   Duration now_{0};
   std::multimap<Duration, std::function<void()>> scheduled_;
   std::unique_ptr<Platform> core_;
